--- a/benches/fleet/share.rs
+++ b/benches/fleet/share.rs
@@ -52,6 +52,7 @@
         access: Access::Keyed,
         idempotent: None,
         bulk,
+        terms: Default::default(),
     })
 }
 
--- a/crates/admit/examples/classes.rs
+++ b/crates/admit/examples/classes.rs
@@ -9,7 +9,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use admit::{Action, Event, Job, JobId, QueueLimits, SlotQueue};
-use ids::{MonoTime, Slots, Weight};
+use ids::{Rank, MonoTime, Slots, Weight};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 /// Backend servers and slots of each.
@@ -116,6 +116,7 @@
         self.sent.insert(id.0, sent);
         let job = Job {
             id,
+            rank: Rank(0),
             account: Some("radio-one".parse().expect("a name")),
             internal: beside.is_some_and(|beside| beside.internal),
             bulk: beside.is_some_and(|beside| beside.bulk),
--- a/crates/admit/src/job.rs
+++ b/crates/admit/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use ids::{AccountId, MonoTime, Slots, Weight};
+use ids::{AccountId, MonoTime, Rank, Slots, Weight};
 
 /// Number of a job, unique within one queue.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -21,6 +21,8 @@
     pub id: JobId,
     /// The client account it runs for; `None` on an open route.
     pub account: Option<AccountId>,
+    /// Rank among those that wait.
+    pub rank: Rank,
     /// Whether it is internal work, which must not delay customers.
     pub internal: bool,
     /// Whether it is a long transfer, which may not take every slot.
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ids::{AccountId, FastMap, MonoTime, Slots};
+use ids::{AccountId, FastMap, MonoTime, Rank, Slots};
 
 use crate::{
     demand::ArrivalWindow,
@@ -266,7 +266,7 @@
         let internal_room = self.internal_room(now);
         let bulk_room = self.bulk_room(now);
         let charges: Vec<&FlowCharge> = self.running.values().map(|item| &item.charge).collect();
-        let mut best: Option<(bool, f64, usize)> = None;
+        let mut best: Option<((bool, Rank), f64, usize)> = None;
         for (place, job) in self.waiting.iter().enumerate() {
             let held = (job.internal && internal_room == 0) || (job.bulk && bulk_room == 0);
             if held {
@@ -274,11 +274,11 @@
             }
             let start = self.flows.start_time(&job.account, &charges, now);
             let better = match best {
-                Some((internal, first, _)) => (job.internal, start) < (internal, first),
+                Some((class, first, _)) => ((job.internal, job.rank), start) < (class, first),
                 None => true,
             };
             if better {
-                best = Some((job.internal, start, place));
+                best = Some(((job.internal, job.rank), start, place));
             }
         }
         best.map(|(_, start, place)| (place, start))
--- a/crates/admit/tests/fair_share.rs
+++ b/crates/admit/tests/fair_share.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use admit::{Action, Event, Job, JobId, QueueLimits, Refusal, SlotQueue};
-use ids::{AccountId, MonoTime, Slots, Weight};
+use ids::{Rank, AccountId, MonoTime, Slots, Weight};
 use test_case::test_case;
 
 /// An account that always has requests waiting.
@@ -44,6 +44,7 @@
         self.jobs.insert(id, load);
         let job = Job {
             id,
+            rank: Rank(0),
             account: Some(load.name.parse::<AccountId>().unwrap()),
             internal: false,
             bulk: false,
--- a/crates/config/examples/two_years.rs
+++ b/crates/config/examples/two_years.rs
@@ -83,6 +83,7 @@
             access: Access::Keyed,
             idempotent: None,
             bulk: false,
+            terms: Default::default(),
         })
     });
     add(&mut builder, "accounts", accounts, |n| {
@@ -91,6 +92,7 @@
             rate: TokenRate::per_second(100),
             burst: TokenAmount::whole(100),
             weight: Weight(1),
+            rank: None,
         })
     });
     add(&mut builder, "keys", accounts, |n| {
@@ -143,6 +145,7 @@
             rate: TokenRate::per_second(200 + number),
             burst: TokenAmount::whole(100),
             weight: Weight(1),
+            rank: None,
         });
         let mut builder = TableBuilder::from_table(&table);
         builder.put(record.clone()).expect("the record is good");
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -58,6 +58,18 @@
         {
             "host must be a lower-case name without port, or `*`".to_owned()
         }
+        Record::Route(route)
+            if !route.terms.split.is_empty()
+                && route.terms.split.iter().all(|share| share.weight == 0) =>
+        {
+            "split must give a weight of at least 1 to one service".to_owned()
+        }
+        Record::Route(route) if route.terms.timeout_ms == Some(0) => {
+            "timeout_ms must be at least 1".to_owned()
+        }
+        Record::Route(route) if route.terms.max_attempts == Some(0) => {
+            "max_attempts must be at least 1".to_owned()
+        }
         Record::Account(account) if account.rate.as_f64() == 0.0 => {
             "rate must be at least 1 request per second; withdraw the keys to stop an account"
                 .to_owned()
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -4,14 +4,14 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use ids::{
-    AccountId, FastSet, KeyId, Percent, RackId, RegionId, ServerId, ServiceId, Slots, TokenAmount,
+    AccountId, FastSet, KeyId, Percent, RackId, Rank, RegionId, ServerId, ServiceId, Slots, TokenAmount,
     TokenRate, VmId, Weight, ZoneId,
 };
 use serde::Deserialize;
 
 use crate::{
     Access, Account, Backend, CallerKey, Class, Detection, DocFault, KeyDigest, Record, Route,
-    Service, Vm, Zone, check_records,
+    RouteTerms, Service, Vm, Zone, check_records,
     jsonc::{Step, line_of, parse_document},
 };
 
@@ -131,6 +131,9 @@
     /// Long transfers.
     #[serde(default)]
     pub bulk: bool,
+    /// Times, attempts, rank and shares.
+    #[serde(default)]
+    pub terms: RouteTerms,
 }
 
 /// A client account.
@@ -143,6 +146,8 @@
     pub burst: u64,
     /// Share where accounts compete.
     pub weight: Option<Weight>,
+    /// Rank that goes before that of the route.
+    pub rank: Option<Rank>,
 }
 
 /// A caller's key.
@@ -245,6 +250,7 @@
                 access: rule.access,
                 idempotent: rule.idempotent,
                 bulk: rule.bulk,
+                terms: rule.terms,
             };
             self.push(
                 Record::Route(route),
@@ -259,6 +265,7 @@
                 rate: TokenRate::per_second(rule.rate),
                 burst: TokenAmount::whole(rule.burst),
                 weight: rule.weight.unwrap_or(Weight(1)),
+                rank: rule.rank,
             };
             self.push(Record::Account(account), &file, &steps);
         }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -26,7 +26,7 @@
 pub use jsonc::parse_document;
 pub use members::PoolMembers;
 pub use model::{
-    Access, Account, Backend, CallerKey, Class, Detection, Route, Service, Vm, VmEntry, VmList,
+    Access, Account, Backend, CallerKey, Class, Detection, Route, RouteTerms, Service, ServiceShare, Vm, VmEntry, VmList,
     VmState, Zone,
 };
 pub use pack::{
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -4,7 +4,7 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use ids::{
-    AccountId, KeyId, Percent, RackId, RegionId, Revision, ServerId, ServiceId, Slots, TokenAmount,
+    AccountId, KeyId, Percent, RackId, Rank, RegionId, Revision, ServerId, ServiceId, Slots, TokenAmount,
     TokenRate, VmId, Weight, ZoneId,
 };
 use serde::{Deserialize, Serialize};
@@ -157,6 +157,54 @@
     pub idempotent: Option<bool>,
     /// Long transfers, which may not take every slot.
     pub bulk: bool,
+    /// Times, attempts, rank and shares.
+    #[serde(default)]
+    pub terms: RouteTerms,
+}
+
+/// A service's share of a route's traffic.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ServiceShare {
+    /// The service.
+    pub service: ServiceId,
+    /// Its share relative to the others.
+    pub weight: u32,
+}
+
+/// What a route says of its requests beside where they go.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RouteTerms {
+    /// Longest time that a caller is kept waiting, in milliseconds; the
+    /// service's deadline if there is none.
+    pub timeout_ms: Option<u32>,
+    /// Time within which an answer is worth most, in milliseconds.
+    pub target_ms: Option<u32>,
+    /// Most backend servers that one request may be handed to.
+    pub max_attempts: Option<u32>,
+    /// Rank among requests that wait for a slot; 0 goes first.
+    pub rank: Rank,
+    /// Services that share the traffic; empty if all goes to the route's own.
+    pub split: Vec<ServiceShare>,
+}
+
+impl Route {
+    /// The service for a request, by a random number.
+    pub fn pick_service(&self, random: u64) -> &ServiceId {
+        let split = &self.terms.split;
+        let total: u64 = split.iter().map(|share| u64::from(share.weight)).sum();
+        if total == 0 {
+            return &self.service;
+        }
+        let mut left = random % total;
+        for share in split {
+            match left.checked_sub(u64::from(share.weight)) {
+                Some(rest) => left = rest,
+                None => return &share.service,
+            }
+        }
+        &self.service
+    }
 }
 
 /// A client account with the rate and burst that hold across the fleet.
@@ -170,6 +218,9 @@
     pub burst: TokenAmount,
     /// Share where accounts compete for slots.
     pub weight: Weight,
+    /// Rank that goes before that of the route.
+    #[serde(default)]
+    pub rank: Option<Rank>,
 }
 
 /// A caller's key, known only by its digest.
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -292,8 +292,13 @@
             Record::Server(server) if table.service(&server.service).is_none() => {
                 format!("service {}", server.service)
             }
-            Record::Route(route) if table.service(&route.service).is_none() => {
-                format!("service {}", route.service)
+            Record::Route(route) => {
+                let parts = route.terms.split.iter().map(|share| &share.service);
+                let mut services = parts.chain([&route.service]);
+                match services.find(|id| table.service(id).is_none()) {
+                    Some(id) => format!("service {id}"),
+                    None => return Ok(()),
+                }
             }
             Record::Key(key) if !table.accounts.contains(key.account.as_str()) => {
                 format!("account {}", key.account)
--- a/crates/config/tests/delta_fuzz.rs
+++ b/crates/config/tests/delta_fuzz.rs
@@ -13,6 +13,7 @@
         rate: TokenRate::per_second(rate),
         burst: TokenAmount::whole(10),
         weight: Weight(1),
+        rank: None,
     })
 }
 
@@ -133,6 +134,7 @@
                 rate: TokenRate::per_second(1),
                 burst: TokenAmount::ONE,
                 weight: Weight(1),
+                rank: None,
             })
         })
         .collect();
--- a/crates/config/tests/packed_map.rs
+++ b/crates/config/tests/packed_map.rs
@@ -17,6 +17,7 @@
         rate: TokenRate::per_second(rate),
         burst: TokenAmount::whole(rate),
         weight: Weight(1),
+        rank: None,
     }
 }
 
@@ -155,6 +156,7 @@
             access: Access::Keyed,
             idempotent: None,
             bulk: false,
+            terms: Default::default(),
         };
         let routes: Vec<Route> = prefixes.into_iter().map(route).collect();
         let table = routes_table(&routes);
--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -102,6 +102,7 @@
                 access: Access::Keyed,
                 idempotent: None,
                 bulk: false,
+                terms: Default::default(),
             }));
         }
         let hasher = KeyHasher::new(secret);
@@ -111,6 +112,7 @@
                 rate: TokenRate::per_second(*rate),
                 burst: TokenAmount::whole(*burst),
                 weight: Weight(1),
+                rank: None,
             }));
             records.push(Record::Key(CallerKey {
                 digest: hasher.digest(format!("key-of-{account}").as_bytes()),
--- a/crates/ids/src/size.rs
+++ b/crates/ids/src/size.rs
@@ -66,6 +66,10 @@
     /// Relative share of a client account where accounts compete.
     Weight, u32, "", "a weight, such as 1"
 );
+number_type!(
+    /// Rank of a request among those that wait; 0 goes first.
+    Rank, u8, "", "a rank, such as 0"
+);
 number_type!(
     /// Hundredths of a whole.
     Percent, u8, "%", "a percentage, such as 60%"
--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -8,8 +8,6 @@
 
 use crate::message::{DeltaText, KnownRevisions, PeerMessage};
 
-/// Daemons of each zone that watch the platform.
-const READERS_PER_ZONE: usize = 3;
 /// Peers that a new revision is pushed to.
 const FANOUT: usize = 4;
 /// Time between exchanges with a random peer.
@@ -95,6 +93,7 @@
     rng: StdRng,
     peers: Vec<VmId>,
     reader: bool,
+    readers_per_zone: usize,
     config: Revision,
     vms: Revision,
     /// When the platform was last read, here or by whom this daemon heard.
@@ -106,6 +105,9 @@
 }
 
 impl SpreadNode {
+    /// Daemons of each zone that watch the platform, where nothing else is set.
+    pub const READERS_PER_ZONE: usize = 3;
+
     /// A machine that knows nothing; `seed` is random.
     pub fn new(vm: VmId, zone: ZoneId, now: MonoTime, seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -117,6 +119,7 @@
             rng,
             peers: Vec::new(),
             reader: true,
+            readers_per_zone: Self::READERS_PER_ZONE,
             config: Revision(0),
             vms: Revision(0),
             read_at: None,
@@ -127,6 +130,11 @@
         }
     }
 
+    /// Sets how many daemons of each zone watch the platform.
+    pub fn set_readers(&mut self, per_zone: usize) {
+        self.readers_per_zone = per_zone;
+    }
+
     /// Takes an event at `now` and returns what to do.
     pub fn handle(&mut self, now: MonoTime, event: SpreadEvent) -> Vec<SpreadAction> {
         let mut actions = Vec::new();
@@ -187,7 +195,7 @@
             .iter()
             .filter(|peer| peer.zone == self.zone && peer.vm != self.vm);
         let before = mates.filter(|peer| rank(&peer.vm) > own).count();
-        self.reader = before < READERS_PER_ZONE;
+        self.reader = before < self.readers_per_zone;
         let others = peers.into_iter().map(|peer| peer.vm);
         self.peers = others.filter(|vm| *vm != self.vm).collect();
     }
--- a/crates/platform/src/http.rs
+++ b/crates/reader/src/http.rs
@@ -1,6 +1,6 @@
 //! The platform over HTTP with long poll.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use config::MAX_VALUE_BYTES;
@@ -15,7 +15,7 @@
 use ids::Revision;
 use tokio::time::timeout;
 
-use crate::{PlatformError, PlatformSource, PlatformValue};
+use crate::{PlatformError, PlatformSource, PlatformValue, PublishedFeed};
 
 /// Time for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -48,6 +48,11 @@
         self
     }
 
+    /// Makes a feed of the values there.
+    pub fn feed(self) -> PublishedFeed {
+        PublishedFeed::new(Arc::new(self.build()))
+    }
+
     /// Makes the client; it connects when it is first used.
     pub fn build(self) -> HttpPlatform {
         let mut connector = HttpConnector::new();
--- a/crates/platform/tests/platform_faults.rs
+++ b/crates/reader/tests/platform_faults.rs
@@ -5,7 +5,7 @@
 use config::{ConfigTable, PackedValue, publish_set};
 use fakes::{Deployment, DeploymentShape, PlatformFault, PlatformStub};
 use ids::Revision;
-use platform::{ConfigReader, HttpPlatformBuilder, PlatformError, PlatformSource, ReadOutcome};
+use reader::{ConfigReader, HttpPlatformBuilder, PlatformError, PlatformSource, ReadOutcome};
 use test_case::test_case;
 
 const TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -28,6 +28,8 @@
     pub replayable: bool,
     /// When the caller's time is up.
     pub deadline: MonoTime,
+    /// Most backend servers that may run it.
+    pub max_runs: Option<u32>,
     /// Time after which an idempotent request is hedged.
     pub hedge_after: Option<Duration>,
 }
@@ -46,6 +48,8 @@
     Lost,
     /// The answer broke off before anything was passed on.
     Truncated,
+    /// The backend server answered with an error of its own.
+    Failed,
 }
 
 impl AttemptEnd {
@@ -53,7 +57,7 @@
     pub fn is_not_run(self) -> bool {
         match self {
             Self::Moved | Self::Shed | Self::Unsent => true,
-            Self::Lost | Self::Truncated => false,
+            Self::Lost | Self::Truncated | Self::Failed => false,
         }
     }
 }
@@ -174,10 +178,18 @@
             // A pool that sheds gets no retry.
             AttemptEnd::Shed => false,
             AttemptEnd::Moved | AttemptEnd::Unsent => true,
-            AttemptEnd::Lost | AttemptEnd::Truncated => budget.withdraw(),
+            _ if !self.may_run_again() => false,
+            AttemptEnd::Lost | AttemptEnd::Truncated | AttemptEnd::Failed => budget.withdraw(),
         }
     }
 
+    /// Whether one more backend server may run the request.
+    fn may_run_again(&self) -> bool {
+        let may_have_run = |state: &&AttemptState| **state != AttemptState::NotRun;
+        let runs = self.attempts.iter().filter(may_have_run).count() as u32;
+        self.options.max_runs.is_none_or(|most| runs < most)
+    }
+
     /// Sends the first attempt.
     fn start(&mut self, now: MonoTime, actions: &mut Vec<PlanAction>) {
         if !self.attempts.is_empty() {
@@ -204,7 +216,7 @@
             Some(due) if due <= now => self.hedge_at = None,
             _ => return,
         }
-        if self.open_count() == 1 && budget.withdraw() {
+        if self.open_count() == 1 && self.may_run_again() && budget.withdraw() {
             self.send(actions);
         }
     }
--- a/crates/route/tests/plan_fuzz.rs
+++ b/crates/route/tests/plan_fuzz.rs
@@ -50,6 +50,7 @@
                     idempotent,
                     replayable,
                     deadline: MonoTime::from_millis(200),
+                    max_runs: None,
                     hedge_after: hedge.map(Duration::from_millis),
                 },
                 now: MonoTime::ZERO,
--- a/crates/serve/src/answer.rs
+++ b/crates/serve/src/answer.rs
@@ -4,15 +4,19 @@
 
 use hyper::{
     Response, StatusCode,
-    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_TYPE, HeaderValue},
 };
 use route::FailedOutcome;
 
 use crate::{
     body::{ProxyBody, full_body},
-    wire::{NotRun, OUTCOME, REASON},
+    edge::EdgeCodec,
+    wire::NotRun,
 };
 
+/// Pause that a refused caller is asked for where nothing better is known.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
 /// Why a request has no answer of a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
@@ -66,30 +70,21 @@
     }
 
     /// Time after which another try makes sense.
-    fn retry_after(self) -> Option<Duration> {
+    pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::OverRate(after) => Some(after),
-            _ if self.status() == StatusCode::SERVICE_UNAVAILABLE => Some(Duration::from_secs(1)),
+            _ if self.status() == StatusCode::SERVICE_UNAVAILABLE => Some(RETRY_PAUSE),
             _ => None,
         }
     }
 
-    /// The answer for the caller.
-    pub fn response(self) -> Response<ProxyBody> {
-        let reason = self.to_string();
-        let mut response = Response::new(full_body(format!("{}: {reason}\n", self.outcome())));
+    /// The answer for the caller, in the words of `codec`.
+    pub fn response(self, codec: &dyn EdgeCodec) -> Response<ProxyBody> {
+        let mut response = Response::new(full_body(format!("{}: {self}\n", self.outcome())));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-        headers.insert(OUTCOME, HeaderValue::from_static(self.outcome()));
-        if let Ok(value) = reason.parse() {
-            headers.insert(REASON, value);
-        }
-        if let Some(after) = self.retry_after() {
-            // Whole seconds, rounded up: an earlier try would be in vain.
-            let seconds = after.as_millis().div_ceil(1_000).max(1) as u64;
-            headers.insert(RETRY_AFTER, seconds.into());
-        }
+        codec.write_refusal(headers, self);
         response
     }
 }
--- a/crates/serve/src/control/follow.rs
+++ b/crates/serve/src/control/follow.rs
@@ -8,10 +8,9 @@
     time::Duration,
 };
 
-use config::{parse_changes, parse_vm_list};
+use config::VmList;
 use error_stack::Report;
-use ids::Revision;
-use platform::{ConfigReader, PlatformError, PlatformSource, ReadOutcome};
+use reader::{ConfigFeed, PlatformError, ReadOutcome};
 
 use super::event::{ControlEvent, ControlSender};
 use crate::{metrics::MetricSet, task::StopSignal, view::FleetView};
@@ -33,7 +32,7 @@
     /// Counters.
     pub metrics: Arc<MetricSet>,
     /// The platform.
-    pub platform: Arc<dyn PlatformSource>,
+    pub platform: Arc<dyn ConfigFeed>,
     /// The control loop.
     pub control: ControlSender,
     /// Whether this daemon watches the platform.
@@ -76,18 +75,13 @@
 
     /// Reads configuration and VM list once.
     pub async fn read_once(&self) {
-        let reader = ConfigReader::new(Arc::clone(&self.platform));
         self.metrics.platform_calls.inc_by(2);
-        match reader.read_newer(&self.view.table()).await {
+        match self.platform.read_config(self.view.table()).await {
             Ok(outcome) => self.tell_config(outcome).await,
             Err(report) => self.note_failure(&report),
         }
-        match reader.read_vms(&self.view.vms()).await {
-            Ok(list) => {
-                self.control
-                    .send(ControlEvent::Vms(list.map(Arc::new)))
-                    .await;
-            }
+        match self.platform.read_vms(self.view.vms()).await {
+            Ok(list) => self.tell_vms(list).await,
             Err(report) => self.note_failure(&report),
         }
     }
@@ -102,32 +96,16 @@
 
     /// Follows the configuration.
     async fn follow_config(&self) {
-        let reader = ConfigReader::new(Arc::clone(&self.platform));
-        let mut after = Revision(0);
         let mut backoff = Backoff::new();
         loop {
             self.wait_for_turn().await;
             self.metrics.platform_calls.inc();
-            let result = self.platform.watch("changes", after, WATCH_WAIT).await;
-            let read = match result {
-                Ok(Some(value)) => {
-                    let read = self.take_changes(&reader, &value.bytes).await;
-                    // A refused revision is looked at again only when another
-                    // one is published.
-                    after = match &read {
-                        Err(report) if is_passing(report) => after,
-                        _ => value.revision,
-                    };
-                    read
-                }
-                Ok(None) => {
-                    self.tell_config(ReadOutcome::Current).await;
-                    Ok(())
+            let table = self.view.table();
+            match self.platform.watch_config(table, WATCH_WAIT).await {
+                Ok(outcome) => {
+                    self.tell_config(outcome).await;
+                    backoff.reset();
                 }
-                Err(report) => Err(report),
-            };
-            match read {
-                Ok(()) => backoff.reset(),
                 Err(report) => {
                     self.note_failure(&report);
                     backoff.wait().await;
@@ -136,21 +114,6 @@
         }
     }
 
-    /// Reads the configuration after `changes`.
-    async fn take_changes(
-        &self,
-        reader: &ConfigReader,
-        bytes: &[u8],
-    ) -> Result<(), Report<PlatformError>> {
-        let changes = match parse_changes(bytes) {
-            Ok(changes) => changes,
-            Err(error) => return Err(Report::new(error).change_context(PlatformError::Refused)),
-        };
-        let outcome = reader.follow(&self.view.table(), &changes).await?;
-        self.tell_config(outcome).await;
-        Ok(())
-    }
-
     /// Tells the control loop what a read brought.
     async fn tell_config(&self, outcome: ReadOutcome) {
         let event = match outcome {
@@ -168,19 +131,13 @@
 
     /// Follows the VM list.
     async fn follow_vms(&self) {
-        let mut after = Revision(0);
         let mut backoff = Backoff::new();
         loop {
             self.wait_for_turn().await;
             self.metrics.platform_calls.inc();
-            match self.platform.watch("vms", after, WATCH_WAIT).await {
-                Ok(Some(value)) => {
-                    after = value.revision;
-                    self.take_vms(&value.bytes).await;
-                    backoff.reset();
-                }
-                Ok(None) => {
-                    self.control.send(ControlEvent::Vms(None)).await;
+            match self.platform.watch_vms(WATCH_WAIT).await {
+                Ok(list) => {
+                    self.tell_vms(list).await;
                     backoff.reset();
                 }
                 Err(report) => {
@@ -191,16 +148,11 @@
         }
     }
 
-    /// Passes a VM list on if it is one.
-    async fn take_vms(&self, bytes: &[u8]) {
-        match parse_vm_list(bytes) {
-            Ok(list) => {
-                self.control
-                    .send(ControlEvent::Vms(Some(Arc::new(list))))
-                    .await;
-            }
-            Err(error) => log::warn!("platform: VM list refused, the last one stays: {error}."),
-        }
+    /// Tells the control loop of a VM list, or that there is no newer one.
+    async fn tell_vms(&self, list: Option<VmList>) {
+        self.control
+            .send(ControlEvent::Vms(list.map(Arc::new)))
+            .await;
     }
 
     /// Logs a failed read.
@@ -214,8 +166,3 @@
         }
     }
 }
-
-/// Whether another try of the same revision may succeed.
-fn is_passing(report: &Report<PlatformError>) -> bool {
-    !matches!(report.current_context(), PlatformError::Refused)
-}
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -17,7 +17,7 @@
 use ids::{AccountId, FastMap, MonoTime, VmId};
 use limit::{AccountLimit, LimitAction, LimitEvent, LimitNode, TakeId, TakeRefusal};
 use mesh::{Freshness, PeerMessage, SpreadAction, SpreadEvent, SpreadNode};
-use platform::PlatformSource;
+use reader::ConfigFeed;
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
 
@@ -31,6 +31,7 @@
     egress::EgressHub,
     metrics::MetricSet,
     pool::PoolTable,
+    settings::Policy,
     task::{StopSignal, TaskGroup},
     view::FleetView,
     wire::HeaderSeal,
@@ -65,7 +66,9 @@
     /// Seals pulls.
     pub seal: HeaderSeal,
     /// The platform, for reads beside the watches.
-    pub platform: Arc<dyn PlatformSource>,
+    pub platform: Arc<dyn ConfigFeed>,
+    /// What the fleet promises its users.
+    pub policy: Policy,
     /// Where events go, for the tasks that the loop starts.
     pub sender: ControlSender,
 }
@@ -108,9 +111,11 @@
             Arc::clone(&parts.pools),
             Arc::clone(&parts.metrics),
         );
+        let mut spread = SpreadNode::new(vm.clone(), parts.view.zone.clone(), now, rand::random());
+        spread.set_readers(parts.policy.readers_per_zone);
         Self {
-            limits: LimitNode::new(vm.clone(), now, rand::random()),
-            spread: SpreadNode::new(vm, parts.view.zone.clone(), now, rand::random()),
+            limits: LimitNode::new(vm, now, rand::random()),
+            spread,
             detectors,
             waiting: FastMap::default(),
             next_take: 0,
@@ -168,7 +173,7 @@
         let freshness = self.spread.freshness(now, hears);
         self.parts
             .view
-            .set_isolated(freshness == Freshness::Isolated);
+            .set_isolated(self.parts.policy.refuse_isolated && freshness == Freshness::Isolated);
         let age = self.spread.age(now).as_millis() as i64;
         self.parts.metrics.platform_age_ms.set(age);
         self.reader.store(
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -9,7 +9,7 @@
 
 use config::KeyHasher;
 use error_stack::{Report, ResultExt};
-use platform::PlatformSource;
+use reader::ConfigFeed;
 
 use crate::{
     admin::AdminDesk,
@@ -17,6 +17,7 @@
     control::{
         ControlLoop, ControlParts, PeerSocket, PlatformFollower, bind_datagrams, control_queue,
     },
+    edge::{EdgeCodec, OwnCodec},
     egress::EgressHub,
     gate::RateGate,
     ingress::Ingress,
@@ -171,8 +172,14 @@
         self.addresses
     }
 
-    /// Starts all parts on the current runtime.
-    pub fn start(self, platform: Arc<dyn PlatformSource>) -> Daemon {
+    /// Starts all parts on the current runtime, with the product's own headers.
+    pub fn start(self, platform: Arc<dyn ConfigFeed>) -> Daemon {
+        self.start_with(platform, Arc::new(OwnCodec))
+    }
+
+    /// Starts all parts on the current runtime, with the headers of `codec`
+    /// towards callers and backend servers.
+    pub fn start_with(self, platform: Arc<dyn ConfigFeed>, codec: Arc<dyn EdgeCodec>) -> Daemon {
         let settings = self.settings;
         let clock = MonoClock::default();
         let links = Arc::new(TaskGroup::new());
@@ -186,6 +193,7 @@
             Arc::clone(&links),
             control.clone(),
             settings.budgets.stall_timeout(),
+            Arc::clone(&codec),
         ));
         let seal = HeaderSeal::new(settings.secret_bytes());
         let ingress = Arc::new(Ingress {
@@ -193,6 +201,8 @@
             pools: Arc::clone(&pools),
             egress: Arc::clone(&egress),
             hasher: KeyHasher::new(settings.secret_bytes()),
+            codec,
+            local_service: settings.service.clone(),
             seal: seal.clone(),
             clock,
             budgets: settings.budgets.clone(),
@@ -236,6 +246,7 @@
             socket,
             seal,
             platform,
+            policy: settings.policy.clone(),
             sender: control,
         });
         let stops = [(); 3].map(|()| StopSource::default());
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -25,6 +25,7 @@
     clock::MonoClock,
     control::ControlSender,
     desk::QueueDesk,
+    edge::EdgeCodec,
     evidence::Evidence,
     link::LinkPool,
     task::TaskGroup,
@@ -52,6 +53,7 @@
     epoch: u32,
     control: ControlSender,
     stall_timeout: Duration,
+    codec: Arc<dyn EdgeCodec>,
 }
 
 impl EgressHub {
@@ -62,6 +64,7 @@
         tasks: Arc<TaskGroup>,
         control: ControlSender,
         stall_timeout: Duration,
+        codec: Arc<dyn EdgeCodec>,
     ) -> Self {
         Self {
             view,
@@ -72,6 +75,7 @@
             epoch: rand::random(),
             control,
             stall_timeout,
+            codec,
         }
     }
 
@@ -195,6 +199,7 @@
                 next_job: 0,
             }),
             id: backend.id.clone(),
+            codec: Arc::clone(&self.codec),
             evidence: Evidence::new(self.epoch),
             control: self.control.clone(),
             stall_timeout: self.stall_timeout,
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -12,7 +12,7 @@
 use config::Backend;
 use health::STUCK_FACTOR;
 use http_body_util::BodyExt;
-use hyper::{Request, Response, StatusCode, body::Body, header::RETRY_AFTER};
+use hyper::{Request, Response, body::Body};
 use ids::{MonoTime, ServerId, Slots};
 use tokio::sync::oneshot;
 
@@ -22,9 +22,10 @@
     clock::MonoClock,
     control::{ControlEvent, ControlSender},
     desk::QueueDesk,
+    edge::{AnswerKind, DispatchHead, EdgeCodec, shed_pause},
     evidence::Evidence,
     link::{LinkError, LinkPool},
-    wire::{self, Attempt, EgressOutcome, EgressReport, NotRun},
+    wire::{Attempt, EgressOutcome, EgressReport, NotRun},
 };
 
 /// Longest pause that a backend server can ask for.
@@ -42,6 +43,7 @@
     pub(super) desk: Mutex<QueueDesk>,
     pub(super) evidence: Evidence,
     pub(super) id: ServerId,
+    pub(super) codec: Arc<dyn EdgeCodec>,
     pub(super) control: ControlSender,
     pub(super) stall_timeout: Duration,
     /// End of the time for which it counts as loaded by its own word.
@@ -91,6 +93,7 @@
         desk.waiters.insert(id, sender);
         let job = Job {
             id,
+            rank: attempt.rank,
             account: attempt.account.clone(),
             internal: attempt.internal,
             bulk: attempt.bulk,
@@ -116,6 +119,7 @@
     ) -> EgressAnswer {
         let started = self.clock.now();
         let request = self.prepare(attempt, request, deadline);
+        let name = self.codec.request_name(request.headers());
         let sent = self.links.send(request);
         tokio::pin!(sent);
         self.evidence.recent().note(started, &attempt.from);
@@ -148,13 +152,28 @@
         };
         let service = self.clock.now().since(started);
         match result {
-            Some(Ok(response)) => self.pass_on(response, service, overdue, ticket),
+            Some(Ok(response)) => {
+                let (head, body) = response.into_parts();
+                match self.codec.read_answer(name.as_ref(), &head) {
+                    AnswerKind::Answer => {
+                        let response = Response::from_parts(head, body);
+                        self.pass_on(response, service, overdue, ticket)
+                    }
+                    AnswerKind::NotRun(reason) => self.refused(reason),
+                    AnswerKind::Foreign => {
+                        log::warn!("egress: {} answered another request.", self.id);
+                        self.note_failure(overdue);
+                        self.ended(EgressOutcome::Lost)
+                    }
+                }
+            }
             Some(Err(LinkError::Full)) => self.refused(NotRun::Overloaded),
             Some(Err(LinkError::Unsent(_))) => {
                 self.note_failure(overdue);
                 self.refused(NotRun::Unreachable)
             }
-            Some(Err(LinkError::Lost(_))) => {
+            Some(Err(LinkError::Lost(cause))) => {
+                log::warn!("egress: request {:016x}, server {}: answer lost after {} us: {cause}.", attempt.request, self.id, service.as_micros());
                 self.note_failure(overdue);
                 self.ended(EgressOutcome::Lost)
             }
@@ -172,15 +191,13 @@
         mut request: Request<ProxyBody>,
         deadline: MonoTime,
     ) -> Request<ProxyBody> {
-        let headers = request.headers_mut();
-        wire::strip_headers(headers);
-        if let Some(account) = &attempt.account
-            && let Ok(value) = account.as_str().parse()
-        {
-            headers.insert(wire::ACCOUNT, value);
-        }
-        let left = self.clock.until(deadline).as_millis() as u64;
-        headers.insert(wire::DEADLINE, left.into());
+        let head = DispatchHead {
+            server: &self.id,
+            account: attempt.account.as_ref(),
+            caller: attempt.caller.as_ref(),
+            remaining: self.clock.until(deadline),
+        };
+        self.codec.write_dispatch(request.headers_mut(), &head);
         request
     }
 
@@ -192,8 +209,10 @@
         overdue: bool,
         ticket: SlotTicket,
     ) -> EgressAnswer {
-        let shed = shed_pause(&response);
-        let failed = response.status().is_server_error() && shed.is_none();
+        let (head, body) = response.into_parts();
+        let shed = shed_pause(&head).map(|pause| pause.min(MAX_BACKOFF));
+        let failed = head.status.is_server_error() && shed.is_none();
+        let response = Response::from_parts(head, body);
         match shed {
             Some(pause) => self.handle(Event::Backoff(pause)),
             None if failed => self.note_failure(overdue),
@@ -296,16 +315,6 @@
     }
 }
 
-/// Pause that a shedding backend server asks for.
-fn shed_pause(response: &Response<ProxyBody>) -> Option<Duration> {
-    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
-        return None;
-    }
-    let text = response.headers().get(RETRY_AFTER)?.to_str().ok()?;
-    let seconds: u64 = text.trim().parse().ok()?;
-    Some(Duration::from_secs(seconds).min(MAX_BACKOFF))
-}
-
 /// A place in the queue or a slot, given back when dropped.
 #[derive(Debug)]
 pub(super) struct SlotTicket {
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -7,10 +7,11 @@
 
 use bytes::Bytes;
 use config::{Access, Account, Class, KeyDigest, KeyHasher, Route};
+use ids::ServiceId;
 use hyper::{
-    HeaderMap, Request, Response,
+    Request, Response,
     body::Body,
-    header::{AUTHORIZATION, HOST},
+    header::HOST,
     http::request::Parts,
 };
 
@@ -19,6 +20,7 @@
     body::{HeldBody, PrefixedBody, ProxyBody, StallBody, full_body, hold_body},
     clock::MonoClock,
     control::ControlSender,
+    edge::{CallerHead, EdgeCodec},
     egress::EgressHub,
     gate::RateGate,
     metrics::MetricSet,
@@ -26,14 +28,12 @@
     run::{RequestRun, RunOptions},
     settings::Budgets,
     view::FleetView,
-    wire::{self, HeaderSeal},
+    wire::HeaderSeal,
 };
 use http_body_util::BodyExt;
 
 /// Largest request body that is held, so that it can be sent again.
 const HELD_BODY_BYTES: usize = 64 * 1024;
-/// Scheme of the authorization header.
-const BEARER: &str = "Bearer ";
 
 /// What the ingress works with.
 #[derive(Debug)]
@@ -46,6 +46,10 @@
     pub egress: Arc<EgressHub>,
     /// Digests callers' keys.
     pub hasher: KeyHasher,
+    /// Reads what callers say.
+    pub codec: Arc<dyn EdgeCodec>,
+    /// The service on this VM, which backend servers are told as the caller's.
+    pub local_service: Option<ServiceId>,
     /// Seals attempts for peers.
     pub seal: HeaderSeal,
     /// The clock.
@@ -67,6 +71,18 @@
     caller: Option<(KeyDigest, Arc<Account>)>,
 }
 
+impl Admission {
+    /// Longest time that the caller is kept waiting.
+    fn patience(&self, said: &CallerHead) -> Duration {
+        let timeout = self.route.terms.timeout_ms;
+        let longest = match timeout {
+            Some(millis) => Duration::from_millis(u64::from(millis)),
+            None => self.pool.service.deadline(),
+        };
+        said.budget.map_or(longest, |budget| budget.min(longest))
+    }
+}
+
 impl Ingress {
     /// Answers a caller's request.
     pub async fn serve<B>(self: &Arc<Self>, request: Request<B>) -> Response<ProxyBody>
@@ -82,7 +98,7 @@
                 .metrics
                 .count_outcome(refusal.outcome(), &refusal.to_string()),
         }
-        result.unwrap_or_else(Refusal::response)
+        result.unwrap_or_else(|refusal| refusal.response(&*self.codec))
     }
 
     /// Answers a caller's request, or says why not.
@@ -92,15 +108,19 @@
     ) -> Result<Response<ProxyBody>, Refusal> {
         let started = self.clock.now();
         let (mut head, body) = request.into_parts();
-        let admission = self.admit(&mut head)?;
-        let deadline = started + admission.pool.service.deadline();
+        let caller = self.codec.read_caller(&mut head.headers);
+        let admission = self.admit(&head, &caller)?;
+        let deadline = started + admission.patience(&caller);
         let (body, replay) = self.take_body(body).await?;
         let token = match &admission.caller {
             Some((_, account)) => Some(self.gate.take(&account.id).await?),
             None => None,
         };
         let route = &admission.route;
+        let account = admission.caller.as_ref().map(|(_, account)| account);
         let options = RunOptions {
+            rank: account.and_then(|account| account.rank).unwrap_or(route.terms.rank),
+            max_attempts: route.terms.max_attempts,
             account: admission
                 .caller
                 .as_ref()
@@ -124,12 +144,10 @@
     }
 
     /// Finds the route and checks the key.
-    fn admit(&self, head: &mut Parts) -> Result<Admission, Refusal> {
+    fn admit(&self, head: &Parts, said: &CallerHead) -> Result<Admission, Refusal> {
         if !self.view.is_ready() {
             return Err(Refusal::NotReady);
         }
-        let key = take_key(&mut head.headers);
-        wire::strip_headers(&mut head.headers);
         let host = host_of(head).ok_or(Refusal::BadRequest)?;
         let table = self.view.table();
         let route = table
@@ -139,13 +157,14 @@
             Access::Open => None,
             Access::Keyed if self.view.is_isolated() => return Err(Refusal::Isolated),
             Access::Keyed => {
-                let digest = self.hasher.digest(&key.ok_or(Refusal::BadKey)?);
+                let digest = self.hasher.digest(said.key.as_deref().ok_or(Refusal::BadKey)?);
                 let key = table.key(&digest).ok_or(Refusal::BadKey)?;
                 let account = table.account(&key.account).ok_or(Refusal::BadKey)?;
                 Some((digest, Arc::new(account)))
             }
         };
-        let pool = self.pools.pool(&route.service).ok_or(Refusal::PoolDown)?;
+        let service = route.pick_service(rand::random());
+        let pool = self.pools.pool(service).ok_or(Refusal::PoolDown)?;
         Ok(Admission {
             route,
             pool,
@@ -179,17 +198,6 @@
     }
 }
 
-/// Takes the caller's key out of the headers, wherever it stands.
-fn take_key(headers: &mut HeaderMap) -> Option<Vec<u8>> {
-    let bearer = headers.remove(AUTHORIZATION);
-    let plain = headers.remove(wire::API_KEY);
-    let from_bearer = bearer.as_ref().and_then(|value| {
-        let text = value.to_str().ok()?;
-        Some(text.strip_prefix(BEARER)?.trim().as_bytes().to_vec())
-    });
-    from_bearer.or_else(|| Some(plain?.as_bytes().to_vec()))
-}
-
 /// Host of a request in lower case, without port.
 fn host_of(head: &Parts) -> Option<String> {
     let authority = match head.uri.authority() {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -13,6 +13,7 @@
 mod control;
 mod daemon;
 mod desk;
+mod edge;
 mod egress;
 mod evidence;
 mod gate;
@@ -32,10 +33,14 @@
 
 pub use answer::Refusal;
 pub use daemon::{Daemon, DaemonAddresses, DaemonBuilder, DaemonError};
+pub use edge::{
+    AnswerKind, CallerHead, DispatchHead, EdgeCodec, OwnCodec, shed_pause, take_bearer,
+};
 pub use listener::HttpListener;
-pub use settings::{Budgets, FleetSecret, LogLevel, LogSettings, LogTarget, Settings};
+pub use settings::{Budgets, FleetSecret, LogLevel, LogSettings, LogTarget, Policy, Settings, SourceKind};
 pub use task::TaskGroup;
 pub use view::FleetView;
 pub use wire::{
-    Attempt, EgressOutcome, EgressReport, HeaderSeal, NotRun, strip_headers, target_hash,
+    Attempt, EgressOutcome, EgressReport, HeaderSeal, NotRun, strip_connection, strip_headers,
+    target_hash,
 };
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -6,7 +6,7 @@
 use config::{Account, KeyDigest};
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use hyper::{Request, Response, Version, body::Body, http::request::Parts};
-use ids::{MonoTime, ServerId, Weight};
+use ids::{MonoTime, Rank, ServerId, Weight};
 use route::{
     AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, PlanAction, PlanEvent, PlanOptions,
 };
@@ -35,6 +35,10 @@
     pub account: Option<Arc<Account>>,
     /// Digest of its key.
     pub key: Option<KeyDigest>,
+    /// Rank among requests that wait for a slot.
+    pub rank: Rank,
+    /// Most backend servers that may run it.
+    pub max_attempts: Option<u32>,
     /// Internal work.
     pub internal: bool,
     /// Long transfer.
@@ -51,6 +55,8 @@
 enum AttemptResult {
     /// With an answer that can be delivered.
     Answer(Box<Response<ProxyBody>>, Duration),
+    /// With an error of the backend server, after which another may do better.
+    Failed(Box<Response<ProxyBody>>, Duration),
     /// Without one.
     Ended(AttemptEnd, Option<NotRun>),
     /// There was no backend server to send it to.
@@ -120,11 +126,13 @@
             idempotent: self.options.idempotent,
             replayable: self.replay.is_some(),
             deadline: self.options.deadline,
+            max_runs: self.options.max_attempts,
             hedge_after: self.hedge_after(),
         });
         let clock = self.ingress.clock;
         let mut event = PlanEvent::Start;
         let mut answer = None;
+        let mut failed = None;
         loop {
             for action in plan.handle(clock.now(), event, &budget) {
                 match action {
@@ -136,7 +144,12 @@
                             return Ok(self.deliver(response, service));
                         }
                     }
-                    PlanAction::Fail(outcome) => return Err(self.refusal(outcome)),
+                    PlanAction::Fail(outcome) => {
+                        return match failed.take() {
+                            Some((response, service)) => Ok(self.deliver(response, service)),
+                            None => Err(self.refusal(outcome)),
+                        };
+                    }
                 }
             }
             let tick = clock.instant(plan.next_tick());
@@ -147,6 +160,10 @@
                         answer = Some((*response, service));
                         PlanEvent::Answered(id)
                     }
+                    AttemptResult::Failed(response, service) => {
+                        failed = Some((*response, service));
+                        PlanEvent::Ended(id, AttemptEnd::Failed)
+                    }
                     AttemptResult::NoServer => PlanEvent::NoServer(id),
                     AttemptResult::Ended(end, reason) => {
                         self.reason = reason.or(self.reason);
@@ -223,6 +240,8 @@
             account: account.map(|account| account.id.clone()),
             key: self.options.key,
             weight: account.map_or(Weight(1), |account| account.weight),
+            caller: self.ingress.local_service.clone(),
+            rank: self.options.rank,
             internal: self.options.internal,
             bulk: self.options.bulk,
             remaining_us: remaining.as_micros() as u64,
@@ -361,7 +380,12 @@
             Ok(HeldBody::Larger(first, rest)) => PrefixedBody::new(first, rest).boxed_unsync(),
             Err(_) => return AttemptResult::Ended(AttemptEnd::Truncated, None),
         };
-        AttemptResult::Answer(Box::new(Response::from_parts(head, body)), service)
+        let failed = head.status.is_server_error();
+        let response = Box::new(Response::from_parts(head, body));
+        match failed {
+            true => AttemptResult::Failed(response, service),
+            false => AttemptResult::Answer(response, service),
+        }
     }
 
     /// Passes the egress's evidence on.
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of one daemon, in JSON with comments.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use config::DocFault;
-use ids::{VmId, ZoneId};
+use ids::{Percent, RegionId, ServiceId, VmId, ZoneId};
 use serde::Deserialize;
 
 /// Shortest fleet secret, in bytes.
@@ -25,6 +25,15 @@
     pub admin: SocketAddr,
     /// The configuration service.
     pub platform: SocketAddr,
+    /// What the configuration service publishes.
+    #[serde(default)]
+    pub source: SourceKind,
+    /// Regions by availability zone, for a source that does not give them.
+    #[serde(default)]
+    pub zones: BTreeMap<ZoneId, RegionId>,
+    /// The service of the backend server on this VM, if there is one.
+    #[serde(default)]
+    pub service: Option<ServiceId>,
     /// The fleet secret itself.
     #[serde(default)]
     pub secret: Option<FleetSecret>,
@@ -37,6 +46,71 @@
     /// Bounds of what callers may use.
     #[serde(default)]
     pub budgets: Budgets,
+    /// What the fleet promises its users.
+    #[serde(default)]
+    pub policy: Policy,
+}
+
+/// What the fleet promises its users, where the configuration does not say.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policy {
+    /// Share of a pool's slots that ejections leave in rotation, 0 to 1.
+    pub floor_share: f64,
+    /// Retries and hedges as a share of a service's requests, 0 to 1.
+    pub retry_ratio: f64,
+    /// Retries of one service that the whole fleet may make beyond that share
+    /// within a short time.
+    pub retry_slack: f64,
+    /// Daemons of each availability zone that watch the platform.
+    pub readers_per_zone: usize,
+    /// Whether requests with a key are refused while neither the platform nor
+    /// the peers are heard.
+    pub refuse_isolated: bool,
+    /// Time after SIGTERM for which callers are still served, in
+    /// milliseconds: until they have seen that the daemon is not ready.
+    pub linger_ms: u64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            floor_share: 0.6,
+            retry_ratio: 0.1,
+            retry_slack: 50.0,
+            readers_per_zone: 3,
+            refuse_isolated: true,
+            linger_ms: 0,
+        }
+    }
+}
+
+impl Policy {
+    /// Share of a pool's slots that ejections leave in rotation.
+    pub fn floor(&self) -> Percent {
+        Percent((self.floor_share * 100.0).round() as u8)
+    }
+
+    /// Retries and hedges as a share of a service's requests.
+    pub fn retry_budget(&self) -> Percent {
+        Percent((self.retry_ratio * 100.0).floor() as u8)
+    }
+
+    /// Time after SIGTERM for which callers are still served.
+    pub fn linger(&self) -> Duration {
+        Duration::from_millis(self.linger_ms)
+    }
+}
+
+/// What the configuration service publishes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum SourceKind {
+    /// The values that `dogwoodshore pack` makes.
+    #[default]
+    Published,
+    /// The users' own store, read by the adapter.
+    Store,
 }
 
 /// The secret that the daemons of a fleet share; never printed.
@@ -243,6 +317,26 @@
                 "budgets.grace_s",
                 "must be 1 to 86400 seconds",
             ),
+            (
+                (0.0..=1.0).contains(&self.policy.floor_share),
+                "policy.floor_share",
+                "must be 0 to 1",
+            ),
+            (
+                (0.0..=1.0).contains(&self.policy.retry_ratio),
+                "policy.retry_ratio",
+                "must be 0 to 1",
+            ),
+            (
+                (0.0..=1e9).contains(&self.policy.retry_slack),
+                "policy.retry_slack",
+                "must be 0 or more requests",
+            ),
+            (
+                self.policy.readers_per_zone > 0,
+                "policy.readers_per_zone",
+                "must be at least 1",
+            ),
             (
                 self.ingress.port() == 0 || self.ingress != self.peer,
                 "peer",
--- a/crates/serve/src/wire.rs
+++ b/crates/serve/src/wire.rs
@@ -8,7 +8,7 @@
 use config::KeyDigest;
 use health::Counts;
 use hyper::{HeaderMap, header::HeaderName, header::HeaderValue};
-use ids::{AccountId, ServerId, VmId, Weight};
+use ids::{AccountId, Rank, ServerId, ServiceId, VmId, Weight};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use subtle::ConstantTimeEq;
 
@@ -53,6 +53,10 @@
     pub key: Option<KeyDigest>,
     /// Share of the account where accounts compete.
     pub weight: Weight,
+    /// Service on the VM of the ingress, if it has one.
+    pub caller: Option<ServiceId>,
+    /// Rank among requests that wait for a slot.
+    pub rank: Rank,
     /// Internal work.
     pub internal: bool,
     /// Long transfer.
@@ -206,9 +210,14 @@
     ids::stable_pair_hash(ids::stable_hash(method.as_bytes()), target)
 }
 
-/// Removes headers that belong to one connection (RFC 9110, 7.6.1), and all
-/// of ours.
+/// Removes headers that belong to one connection, and all of ours.
 pub fn strip_headers(headers: &mut HeaderMap) {
+    strip_connection(headers);
+    strip_own(headers);
+}
+
+/// Removes headers that belong to one connection (RFC 9110, 7.6.1).
+pub fn strip_connection(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
         .get_all(hyper::header::CONNECTION)
         .iter()
@@ -233,7 +242,6 @@
     ] {
         headers.remove(name);
     }
-    strip_own(headers);
 }
 
 /// Removes headers whose names begin with our prefix.
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use adapter::{DecodeOptions, StoreClient, StoreCodec, StoreFeed, StoreFeedOptions};
 use config::{
     Changes, ConfigTable, DocFault, KeyHasher, Record, TableBuilder, load_records, parse_changes,
     parse_manifest, parse_part, publish_set,
@@ -16,8 +17,8 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::{Request, body::Bytes};
 use hyper_util::rt::TokioIo;
-use platform::HttpPlatformBuilder;
-use serve::{DaemonBuilder, Settings};
+use reader::{ConfigFeed, HttpPlatformBuilder};
+use serve::{DaemonBuilder, EdgeCodec, OwnCodec, Settings, SourceKind};
 use tokio::{
     net::TcpStream,
     runtime::Runtime,
@@ -95,10 +96,10 @@
 async fn run_daemon(settings: Settings) -> Result<(), CommandError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(CommandError::other)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(CommandError::other)?;
-    let platform = Arc::new(HttpPlatformBuilder::new(settings.platform).build());
+    let (feed, codec) = edges(&settings);
     let builder = DaemonBuilder::bind(settings)
         .map_err(|report| CommandError::other(report.current_context()))?;
-    let daemon = builder.start(platform);
+    let daemon = builder.start_with(feed, codec);
     let addresses = daemon.addresses();
     log::info!(
         "serve: callers on {}, peers on {}, operators on {}.",
@@ -119,6 +120,28 @@
     Ok(())
 }
 
+/// What the settings say that the daemon's surroundings speak.
+fn edges(settings: &Settings) -> (Arc<dyn ConfigFeed>, Arc<dyn EdgeCodec>) {
+    match settings.source {
+        SourceKind::Published => {
+            let feed = HttpPlatformBuilder::new(settings.platform).feed();
+            (Arc::new(feed), Arc::new(OwnCodec))
+        }
+        SourceKind::Store => {
+            let decode = DecodeOptions {
+                hasher: KeyHasher::new(settings.secret_bytes()),
+                zones: settings.zones.clone(),
+                peer_port: settings.peer.port(),
+                floor: settings.policy.floor(),
+                retry_budget: settings.policy.retry_budget(),
+            };
+            let client = StoreClient::new(settings.platform);
+            let feed = StoreFeed::new(client, StoreFeedOptions { decode });
+            (Arc::new(feed), Arc::new(StoreCodec))
+        }
+    }
+}
+
 /// Records of an inventory and rules.
 fn load_files(inventory: &Path, rules: &Path) -> Result<Vec<Record>, CommandError> {
     let inventory_text = read_text(inventory)?;
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -11,8 +11,8 @@
     rt::TokioExecutor,
 };
 use ids::FastMap;
-use platform::HttpPlatformBuilder;
-use serve::{Budgets, Daemon, DaemonBuilder, FleetSecret, LogSettings, Settings};
+use reader::HttpPlatformBuilder;
+use serve::{Budgets, Daemon, DaemonBuilder, FleetSecret, LogSettings, Policy, Settings, SourceKind};
 use tokio::time::Instant;
 
 use crate::commands::{CommandError, start_runtime};
@@ -61,10 +61,14 @@
         peer: any_port(),
         admin: any_port(),
         platform,
+        source: SourceKind::Published,
+        zones: Default::default(),
+        service: None,
         secret: Some(FleetSecret::new(SECRET)),
         secret_file: None,
         log: LogSettings::default(),
         budgets: Budgets::default(),
+        policy: Policy::default(),
     })
 }
 
@@ -101,7 +105,7 @@
     let values = publish_set(None, &deployment.records).map_err(CommandError::other)?;
     platform.publish_vms(&deployment.vms);
     platform.publish(&values);
-    let source = Arc::new(HttpPlatformBuilder::new(platform.address()).build());
+    let source = Arc::new(HttpPlatformBuilder::new(platform.address()).feed());
     let start = |builder: DaemonBuilder| builder.start(source.clone());
     let daemons: Vec<Daemon> = builders.into_iter().map(start).collect();
     println!("homes of rate tokens wait two mandate periods, about 7 s");
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -17,8 +17,8 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use platform::HttpPlatformBuilder;
-use serve::{Budgets, Daemon, DaemonBuilder, FleetSecret, LogSettings, Settings};
+use reader::HttpPlatformBuilder;
+use serve::{Budgets, Daemon, DaemonBuilder, FleetSecret, LogSettings, Policy, Settings, SourceKind};
 
 /// Secret of test fleets.
 pub const SECRET: &str = "a secret for tests only";
@@ -114,10 +114,14 @@
         peer: any_port(),
         admin: any_port(),
         platform,
+        source: SourceKind::Published,
+        zones: Default::default(),
+        service: None,
         secret: Some(FleetSecret::new(SECRET)),
         secret_file: None,
         log: LogSettings::default(),
         budgets: shape.budgets.clone(),
+        policy: Policy::default(),
     }
 }
 
@@ -193,7 +197,7 @@
         change(&mut deployment);
         platform.publish_vms(&deployment.vms);
         platform.publish(&publish_set(None, &deployment.records).unwrap());
-        let source = Arc::new(HttpPlatformBuilder::new(platform.address()).build());
+        let source = Arc::new(HttpPlatformBuilder::new(platform.address()).feed());
         let start = |builder: DaemonBuilder| builder.start(source.clone());
         let peers = builders
             .iter()
--- a/tests/partitions.rs
+++ b/tests/partitions.rs
@@ -107,7 +107,7 @@
     let platform = fleet.platform.address();
     let mut settings = harness::test_settings(2, &FleetShape::default(), platform);
     settings.peer = fleet.peers[2];
-    let source = platform::HttpPlatformBuilder::new(fleet.platform.address()).build();
+    let source = reader::HttpPlatformBuilder::new(fleet.platform.address()).feed();
     let daemon = serve::DaemonBuilder::bind(settings)
         .unwrap()
         .start(std::sync::Arc::new(source));
