Keep requests from a backend server after one lost connection

Cause: a server that resets most of its requests went on getting its share until each ingress had seen some seven failures of its own. Change: the egress, which sees all traffic of its server, keeps the odds that it fails. While they are against it, requests that must not run twice are told so before they were sent and go elsewhere; others try it one at a time. Answers with an error and rejections are tried again out of the budget, which is now a part of what the settings allow the fleet. Ruled out: lower thresholds of the detectors at the ingresses; they hear of a failure one by one.

--- a/crates/admit/examples/classes.rs
+++ b/crates/admit/examples/classes.rs
@@ -9,7 +9,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use admit::{Action, Event, Job, JobId, QueueLimits, SlotQueue};
-use ids::{Rank, MonoTime, Slots, Weight};
+use ids::{MonoTime, Rank, Slots, Weight};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 /// Backend servers and slots of each.
--- a/crates/admit/tests/fair_share.rs
+++ b/crates/admit/tests/fair_share.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use admit::{Action, Event, Job, JobId, QueueLimits, Refusal, SlotQueue};
-use ids::{Rank, AccountId, MonoTime, Slots, Weight};
+use ids::{AccountId, MonoTime, Rank, Slots, Weight};
 use test_case::test_case;
 
 /// An account that always has requests waiting.
--- a/crates/admit/tests/queue_fuzz.rs
+++ b/crates/admit/tests/queue_fuzz.rs
@@ -6,7 +6,7 @@
 };
 
 use admit::{Action, Event, Job, JobId, QueueLimits, SlotQueue};
-use ids::{Rank, AccountId, MonoTime, Slots, Weight};
+use ids::{AccountId, MonoTime, Rank, Slots, Weight};
 use proptest::{prelude::*, test_runner::RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -4,8 +4,8 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use ids::{
-    AccountId, FastSet, KeyId, Percent, RackId, Rank, RegionId, ServerId, ServiceId, Slots, TokenAmount,
-    TokenRate, VmId, Weight, ZoneId,
+    AccountId, FastSet, KeyId, Percent, RackId, Rank, RegionId, ServerId, ServiceId, Slots,
+    TokenAmount, TokenRate, VmId, Weight, ZoneId,
 };
 use serde::Deserialize;
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -26,8 +26,8 @@
 pub use jsonc::parse_document;
 pub use members::PoolMembers;
 pub use model::{
-    Access, Account, Backend, CallerKey, Class, Detection, Route, RouteTerms, Service, ServiceShare, Vm, VmEntry, VmList,
-    VmState, Zone,
+    Access, Account, Backend, CallerKey, Class, Detection, Route, RouteTerms, Service,
+    ServiceShare, Vm, VmEntry, VmList, VmState, Zone,
 };
 pub use pack::{
     Changes, Delta, MAX_VALUE_BYTES, Manifest, PackedValue, PartRef, diff_records, parse_changes,
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -4,8 +4,8 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use ids::{
-    AccountId, KeyId, Percent, RackId, Rank, RegionId, Revision, ServerId, ServiceId, Slots, TokenAmount,
-    TokenRate, VmId, Weight, ZoneId,
+    AccountId, KeyId, Percent, RackId, Rank, RegionId, Revision, ServerId, ServiceId, Slots,
+    TokenAmount, TokenRate, VmId, Weight, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 
--- a/crates/health/src/lib.rs
+++ b/crates/health/src/lib.rs
@@ -12,10 +12,12 @@
 mod baseline;
 mod detector;
 mod event;
+mod gate;
 mod member;
 mod score;
 
 pub use detector::{DetectorOptions, MemberDump, PoolDetector, STUCK_FACTOR};
 pub use event::{Action, Counts, Event, MemberSpec, Observation, Reason};
+pub use gate::{Outcome, ServerGate, Verdict};
 pub use member::Rotation;
 pub use score::Signal;
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -39,6 +39,8 @@
         server: ServerId,
         /// Its counters.
         counts: Counts,
+        /// Whether ordinary requests are kept away from it.
+        closed: bool,
     },
 }
 
--- a/crates/mesh/tests/frame_contract.rs
+++ b/crates/mesh/tests/frame_contract.rs
@@ -48,6 +48,7 @@
             unwell: true,
             ..Counts::default()
         },
+        closed: true,
     }
 }
 
--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -7,7 +7,7 @@
 use crate::RetryBudget;
 
 /// Most attempts of one request, whatever the budget holds.
-const MAX_ATTEMPTS: u32 = 4;
+const MAX_ATTEMPTS: u32 = 8;
 
 /// Number of an attempt, from 0.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -42,6 +42,8 @@
     Moved,
     /// Refused before dispatch because the pool has no room.
     Shed,
+    /// The backend server itself rejected it.
+    Rejected,
     /// The connection was lost before anything was handed to it.
     Unsent,
     /// Lost after it may have been dispatched.
@@ -56,7 +58,7 @@
     /// Whether it is certain that the backend server ran nothing.
     pub fn is_not_run(self) -> bool {
         match self {
-            Self::Moved | Self::Shed | Self::Unsent => true,
+            Self::Moved | Self::Shed | Self::Rejected | Self::Unsent => true,
             Self::Lost | Self::Truncated | Self::Failed => false,
         }
     }
@@ -178,6 +180,8 @@
             // A pool that sheds gets no retry.
             AttemptEnd::Shed => false,
             AttemptEnd::Moved | AttemptEnd::Unsent => true,
+            // It reached a server, which is what the budget counts.
+            AttemptEnd::Rejected => budget.withdraw(),
             _ if !self.may_run_again() => false,
             AttemptEnd::Lost | AttemptEnd::Truncated | AttemptEnd::Failed => budget.withdraw(),
         }
--- a/crates/serve/src/control/event.rs
+++ b/crates/serve/src/control/event.rs
@@ -60,6 +60,8 @@
         server: ServerId,
         /// Its counters.
         counts: Counts,
+        /// Whether ordinary requests are kept away from it.
+        closed: bool,
         /// VMs of recent ingresses.
         ingresses: Vec<VmId>,
     },
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -228,13 +228,19 @@
             ControlEvent::Suspect {
                 server,
                 counts,
+                closed,
                 ingresses,
             } => {
                 for to in ingresses {
                     let server = server.clone();
-                    self.parts
-                        .socket
-                        .send(&to, PeerMessage::Evidence { server, counts });
+                    self.parts.socket.send(
+                        &to,
+                        PeerMessage::Evidence {
+                            server,
+                            counts,
+                            closed,
+                        },
+                    );
                 }
             }
             ControlEvent::Config { table, deltas } => {
@@ -288,10 +294,15 @@
                     answer: false,
                 });
             }
-            PeerMessage::Evidence { server, counts } => {
+            PeerMessage::Evidence {
+                server,
+                counts,
+                closed,
+            } => {
                 let table = self.parts.view.table();
                 let service = table.server(&server).map(|backend| backend.service.clone());
                 if let Some(service) = service {
+                    self.parts.pools.note_gate(&service, &server, closed);
                     let now = self.now();
                     self.detectors
                         .handle(now, &service, HealthEvent::Reported(server, counts));
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -186,7 +186,11 @@
         let metrics = Arc::new(MetricSet::default());
         let (control, events) = control_queue();
         let view = Arc::new(FleetView::new(settings.vm.clone(), settings.zone.clone()));
-        let pools = Arc::new(PoolTable::new(Arc::clone(&view), Arc::clone(&links)));
+        let pools = Arc::new(PoolTable::new(
+            Arc::clone(&view),
+            Arc::clone(&links),
+            settings.policy.retry_slack,
+        ));
         let egress = Arc::new(EgressHub::new(
             Arc::clone(&view),
             clock,
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -19,7 +19,7 @@
 use ids::{FastMap, ServerId};
 
 pub use self::probed::ProbedServer;
-use self::server::EgressServer;
+use self::server::{EgressServer, HeldSlot};
 use crate::{
     body::ProxyBody,
     clock::MonoClock,
@@ -85,6 +85,9 @@
         let Some(server) = self.server(&attempt.server) else {
             return misdirected();
         };
+        if server.is_shut(attempt) {
+            return server.refused(NotRun::Failing);
+        }
         let ticket = match server.acquire(attempt, deadline).await {
             Ok(ticket) => ticket,
             Err(refusal) => return server.refused(not_run_of(refusal)),
@@ -97,7 +100,14 @@
             _ if self.clock.now() >= deadline => return server.refused(NotRun::Expired),
             _ => {}
         }
-        server.dispatch(attempt, request, deadline, ticket).await
+        // The server may have begun to fail while the request waited.
+        match server.pass_gate(attempt) {
+            Ok(pass) => {
+                let held = HeldSlot { ticket, pass };
+                server.dispatch(attempt, request, deadline, held).await
+            }
+            Err(reason) => server.refused(reason),
+        }
     }
 
     /// Refuses new work from now on, or takes it again.
@@ -200,6 +210,7 @@
             }),
             id: backend.id.clone(),
             codec: Arc::clone(&self.codec),
+            gate: Mutex::default(),
             evidence: Evidence::new(self.epoch),
             control: self.control.clone(),
             stall_timeout: self.stall_timeout,
@@ -232,6 +243,7 @@
             delay_us: 0,
             service_us: 0,
             counts: Counts::default(),
+            closed: false,
         },
         response: None,
     }
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -10,7 +10,7 @@
 
 use admit::{Event, Job, JobId, Refusal};
 use config::Backend;
-use health::STUCK_FACTOR;
+use health::{Outcome, STUCK_FACTOR, ServerGate, Verdict};
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Body};
 use ids::{MonoTime, ServerId, Slots};
@@ -44,6 +44,7 @@
     pub(super) evidence: Evidence,
     pub(super) id: ServerId,
     pub(super) codec: Arc<dyn EdgeCodec>,
+    pub(super) gate: Mutex<ServerGate>,
     pub(super) control: ControlSender,
     pub(super) stall_timeout: Duration,
     /// End of the time for which it counts as loaded by its own word.
@@ -56,6 +57,55 @@
         self.links.address() == backend.address
     }
 
+    /// Whether a request need not even wait.
+    pub(super) fn is_shut(&self, attempt: &Attempt) -> bool {
+        !attempt.forced && !attempt.repeatable && self.gate().is_closed(self.clock.now())
+    }
+
+    /// Asks the gate for a request that holds a slot.
+    pub(super) fn pass_gate(self: &Arc<Self>, attempt: &Attempt) -> Result<GatePass, NotRun> {
+        let now = self.clock.now();
+        let verdict = match attempt.forced {
+            true => Verdict::Open,
+            false => self.gate().ask(now, attempt.repeatable),
+        };
+        match verdict {
+            Verdict::Closed => Err(NotRun::Failing),
+            verdict => Ok(GatePass {
+                server: Arc::clone(self),
+                trial: verdict == Verdict::Trial,
+                good: false,
+            }),
+        }
+    }
+
+    /// Takes an outcome into the gate, and tells recent ingresses if it closed
+    /// or opened.
+    fn note_outcome(&self, outcome: Outcome) {
+        let now = self.clock.now();
+        let mut gate = self.gate();
+        let before = gate.is_closed(now);
+        gate.note(now, outcome);
+        let after = gate.is_closed(now);
+        let odds = gate.odds(now);
+        drop(gate);
+        if before != after {
+            let state = if after { "closed" } else { "open" };
+            log::info!(
+                "egress: gate of {} {state} after {outcome:?}, odds {odds:.1}.",
+                self.id
+            );
+            self.give_notice();
+        }
+    }
+
+    /// The gate; no holder panics.
+    fn gate(&self) -> MutexGuard<'_, ServerGate> {
+        self.gate
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// Waits for a slot.
     pub(super) async fn acquire(
         self: &Arc<Self>,
@@ -115,7 +165,7 @@
         attempt: &Attempt,
         request: Request<ProxyBody>,
         deadline: MonoTime,
-        ticket: SlotTicket,
+        held: HeldSlot,
     ) -> EgressAnswer {
         let started = self.clock.now();
         let request = self.prepare(attempt, request, deadline);
@@ -142,8 +192,14 @@
                     // would give no sample otherwise.
                     marks.pop();
                     match overdue {
-                        false => self.evidence.note(false, true),
-                        true => self.evidence.note_stuck(),
+                        false => {
+                            self.evidence.note(false, true);
+                            self.note_outcome(Outcome::Overdue);
+                        }
+                        true => {
+                            self.evidence.note_stuck();
+                            self.note_outcome(Outcome::Stuck);
+                        }
                     }
                     overdue = true;
                     self.give_notice();
@@ -157,11 +213,17 @@
                 match self.codec.read_answer(name.as_ref(), &head) {
                     AnswerKind::Answer => {
                         let response = Response::from_parts(head, body);
-                        self.pass_on(response, service, overdue, ticket)
+                        self.pass_on(response, service, overdue, held)
+                    }
+                    AnswerKind::NotRun(reason) => {
+                        if reason == NotRun::Shedding {
+                            self.note_outcome(Outcome::Rejected);
+                        }
+                        self.refused(reason)
                     }
-                    AnswerKind::NotRun(reason) => self.refused(reason),
                     AnswerKind::Foreign => {
                         log::warn!("egress: {} answered another request.", self.id);
+                        self.note_outcome(Outcome::Broken);
                         self.note_failure(overdue);
                         self.ended(EgressOutcome::Lost)
                     }
@@ -169,11 +231,18 @@
             }
             Some(Err(LinkError::Full)) => self.refused(NotRun::Overloaded),
             Some(Err(LinkError::Unsent(_))) => {
+                self.note_outcome(Outcome::Lost);
                 self.note_failure(overdue);
                 self.refused(NotRun::Unreachable)
             }
             Some(Err(LinkError::Lost(cause))) => {
-                log::warn!("egress: request {:016x}, server {}: answer lost after {} us: {cause}.", attempt.request, self.id, service.as_micros());
+                log::warn!(
+                    "egress: request {:016x}, server {}: answer lost after {} us: {cause}.",
+                    attempt.request,
+                    self.id,
+                    service.as_micros()
+                );
+                self.note_outcome(Outcome::Lost);
                 self.note_failure(overdue);
                 self.ended(EgressOutcome::Lost)
             }
@@ -207,12 +276,18 @@
         response: Response<ProxyBody>,
         service: Duration,
         overdue: bool,
-        ticket: SlotTicket,
+        mut held: HeldSlot,
     ) -> EgressAnswer {
         let (head, body) = response.into_parts();
         let shed = shed_pause(&head).map(|pause| pause.min(MAX_BACKOFF));
         let failed = head.status.is_server_error() && shed.is_none();
         let response = Response::from_parts(head, body);
+        held.pass.good = !failed && !overdue;
+        match failed {
+            true => self.note_outcome(Outcome::Error),
+            false if !overdue => self.note_outcome(Outcome::Good),
+            false => {}
+        }
         match shed {
             Some(pause) => self.handle(Event::Backoff(pause)),
             None if failed => self.note_failure(overdue),
@@ -226,9 +301,10 @@
         let server = Arc::clone(self);
         let on_end = move |end| {
             if end == BodyEnd::Broken {
+                server.note_outcome(Outcome::Broken);
                 server.note_failure(false);
             }
-            drop(ticket);
+            drop(held);
         };
         let stall = self.stall_timeout;
         let response = response.map(|body| {
@@ -260,6 +336,7 @@
             self.control.tell(ControlEvent::Suspect {
                 server: self.id.clone(),
                 counts: self.evidence.counts(),
+                closed: self.gate().is_closed(self.clock.now()),
                 ingresses,
             });
         }
@@ -290,6 +367,7 @@
             delay_us: (load.delay + extra).as_micros() as u64,
             service_us: 0,
             counts: self.evidence.counts(),
+            closed: self.gate().is_closed(now),
         }
     }
 
@@ -315,6 +393,31 @@
     }
 }
 
+/// Right to send one request to a backend server.
+#[derive(Debug)]
+pub(super) struct GatePass {
+    server: Arc<EgressServer>,
+    trial: bool,
+    good: bool,
+}
+
+impl Drop for GatePass {
+    fn drop(&mut self) {
+        if self.trial {
+            let now = self.server.clock.now();
+            self.server.gate().end_trial(now, self.good);
+        }
+    }
+}
+
+/// What a request holds while it is at a backend server.
+#[derive(Debug)]
+pub(super) struct HeldSlot {
+    #[expect(dead_code, reason = "frees the slot when it is dropped")]
+    pub(super) ticket: SlotTicket,
+    pub(super) pass: GatePass,
+}
+
 /// A place in the queue or a slot, given back when dropped.
 #[derive(Debug)]
 pub(super) struct SlotTicket {
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -7,13 +7,8 @@
 
 use bytes::Bytes;
 use config::{Access, Account, Class, KeyDigest, KeyHasher, Route};
+use hyper::{Request, Response, body::Body, header::HOST, http::request::Parts};
 use ids::ServiceId;
-use hyper::{
-    Request, Response,
-    body::Body,
-    header::HOST,
-    http::request::Parts,
-};
 
 use crate::{
     answer::Refusal,
@@ -119,7 +114,9 @@
         let route = &admission.route;
         let account = admission.caller.as_ref().map(|(_, account)| account);
         let options = RunOptions {
-            rank: account.and_then(|account| account.rank).unwrap_or(route.terms.rank),
+            rank: account
+                .and_then(|account| account.rank)
+                .unwrap_or(route.terms.rank),
             max_attempts: route.terms.max_attempts,
             account: admission
                 .caller
@@ -157,7 +154,9 @@
             Access::Open => None,
             Access::Keyed if self.view.is_isolated() => return Err(Refusal::Isolated),
             Access::Keyed => {
-                let digest = self.hasher.digest(said.key.as_deref().ok_or(Refusal::BadKey)?);
+                let digest = self
+                    .hasher
+                    .digest(said.key.as_deref().ok_or(Refusal::BadKey)?);
                 let key = table.key(&digest).ok_or(Refusal::BadKey)?;
                 let account = table.account(&key.account).ok_or(Refusal::BadKey)?;
                 Some((digest, Arc::new(account)))
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -37,7 +37,9 @@
     AnswerKind, CallerHead, DispatchHead, EdgeCodec, OwnCodec, shed_pause, take_bearer,
 };
 pub use listener::HttpListener;
-pub use settings::{Budgets, FleetSecret, LogLevel, LogSettings, LogTarget, Policy, Settings, SourceKind};
+pub use settings::{
+    Budgets, FleetSecret, LogLevel, LogSettings, LogTarget, Policy, Settings, SourceKind,
+};
 pub use task::TaskGroup;
 pub use view::FleetView;
 pub use wire::{
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -28,6 +28,10 @@
 /// Age from which a reported load says nothing, in milliseconds, on top of the
 /// time in which its jobs take two turns.
 const LOAD_AGE_MS: u64 = 200;
+/// Time for which a server that is taken for failing is left out after it was
+/// last heard to be: for requests that may be its next trial, and for others.
+const FAILING_TRIAL_MS: u64 = 120;
+const FAILING_MS: u64 = 1_000;
 /// Connections to one peer.
 const PEER_CONNECTIONS: usize = 512;
 
@@ -49,9 +53,33 @@
     start: Instant,
     weight: AtomicU32,
     canary: AtomicU8,
+    /// When it was last heard to be failing, in milliseconds from `start` and
+    /// one more; zero if it is not.
+    failing_ms: AtomicU64,
 }
 
 impl ServerState {
+    /// Notes whether its egress keeps ordinary requests away.
+    pub fn note_gate(&self, closed: bool) {
+        let heard = match closed {
+            true => self.age_ms() + 1,
+            false => 0,
+        };
+        self.failing_ms.store(heard, Ordering::Relaxed);
+    }
+
+    /// Whether a request should go elsewhere, by what was last heard.
+    pub fn is_failing(&self, repeatable: bool) -> bool {
+        let span = match repeatable {
+            true => FAILING_TRIAL_MS,
+            false => FAILING_MS,
+        };
+        match self.failing_ms.load(Ordering::Relaxed) {
+            0 => false,
+            heard => self.age_ms() + 1 < heard + span,
+        }
+    }
+
     /// Counts a request in flight until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> FlightGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -63,6 +91,7 @@
         self.running.store(report.running, Ordering::Relaxed);
         self.delay_us.store(report.delay_us, Ordering::Relaxed);
         self.reported_ms.store(self.age_ms(), Ordering::Relaxed);
+        self.note_gate(report.closed);
         if report.service_us > 0 {
             let old = self.service_us.load(Ordering::Relaxed);
             let step = (report.service_us >> SERVICE_TIME_SHIFT).max(1);
@@ -202,18 +231,28 @@
     }
 
     /// Chooses a backend server that is not in `tried`.
-    pub fn choose(&self, view: &FleetView, tried: &[ServerId]) -> Option<Arc<ServerState>> {
-        let usable = |state: &&Arc<ServerState>| {
-            view.is_usable(&state.backend.vm) && !tried.contains(&state.backend.id)
+    ///
+    /// One that is taken for failing is chosen only if there is no other, and
+    /// then marked as forced; it may have been tried before.
+    pub fn choose(&self, view: &FleetView, tried: &[ServerId], repeatable: bool) -> Option<Choice> {
+        let usable = |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm);
+        let states: Vec<&Arc<ServerState>> = self.servers.iter().filter(usable).collect();
+        let fresh = |state: &&&Arc<ServerState>| {
+            !tried.contains(&state.backend.id) && !state.is_failing(repeatable)
         };
-        let mut states: Vec<&Arc<ServerState>> = self.servers.iter().filter(usable).collect();
-        // One that leaves is asked only if there is no other.
-        if states.iter().any(|state| !state.is_resting()) {
-            states.retain(|state| !state.is_resting());
+        let sound: Vec<&Arc<ServerState>> = states.iter().filter(fresh).copied().collect();
+        if let Some(server) = choose_among(sound) {
+            return Some(Choice {
+                server,
+                forced: false,
+            });
         }
-        let candidates: Vec<Candidate> = states.iter().map(|state| state.candidate()).collect();
-        let place = choose_server(&candidates, [rand::random(), rand::random()])?;
-        Some(Arc::clone(states[place]))
+        let failing = states.into_iter().filter(|state| state.is_failing(false));
+        let server = choose_among(failing.collect())?;
+        Some(Choice {
+            server,
+            forced: true,
+        })
     }
 
     /// Whether a backend server other than those tried has a free slot.
@@ -226,6 +265,26 @@
     }
 }
 
+/// A backend server for an attempt.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The backend server.
+    pub server: Arc<ServerState>,
+    /// Whether it is taken for failing.
+    pub forced: bool,
+}
+
+/// Chooses one of several by expected delay.
+fn choose_among(mut states: Vec<&Arc<ServerState>>) -> Option<Arc<ServerState>> {
+    // One that leaves is asked only if there is no other.
+    if states.iter().any(|state| !state.is_resting()) {
+        states.retain(|state| !state.is_resting());
+    }
+    let candidates: Vec<Candidate> = states.iter().map(|state| state.candidate()).collect();
+    let place = choose_server(&candidates, [rand::random(), rand::random()])?;
+    Some(Arc::clone(states[place]))
+}
+
 /// Pools of the services that were used, made when first needed.
 #[derive(Debug)]
 pub struct PoolTable {
@@ -233,12 +292,15 @@
     tasks: Arc<TaskGroup>,
     pools: ArcSwap<FastMap<ServiceId, Arc<PoolState>>>,
     peers: ArcSwap<FastMap<VmId, Arc<LinkPool>>>,
+    /// Retries of one service that the fleet may make beyond the share.
+    retry_slack: f64,
 }
 
 impl PoolTable {
     /// A table whose connections join `tasks`.
-    pub fn new(view: Arc<FleetView>, tasks: Arc<TaskGroup>) -> Self {
+    pub fn new(view: Arc<FleetView>, tasks: Arc<TaskGroup>, retry_slack: f64) -> Self {
         Self {
+            retry_slack,
             view,
             tasks,
             pools: ArcSwap::default(),
@@ -270,6 +332,18 @@
         }
     }
 
+    /// Notes whether the egress of a server keeps ordinary requests away.
+    pub fn note_gate(&self, service: &ServiceId, server: &ServerId, closed: bool) {
+        let pools = self.pools.load();
+        let states = pools
+            .get(service)
+            .into_iter()
+            .flat_map(|pool| &pool.servers);
+        for state in states.filter(|state| state.backend.id == *server) {
+            state.note_gate(closed);
+        }
+    }
+
     /// All pools that were used.
     pub fn pools(&self) -> Vec<Arc<PoolState>> {
         self.pools.load().values().cloned().collect()
@@ -309,10 +383,12 @@
         };
         let state = |backend: Backend| keep(&backend).or_else(|| self.make_server(backend));
         let members = self.view.table().pool_servers(&service.id);
+        let budget = before.map_or_else(Arc::default, |pool| Arc::clone(&pool.budget));
+        budget.set_most(self.retry_part());
         PoolState {
             service: Arc::clone(service),
             servers: members.into_iter().filter_map(state).collect(),
-            budget: before.map_or_else(Arc::default, |pool| Arc::clone(&pool.budget)),
+            budget,
             hedge_after: match before {
                 Some(pool) => Arc::clone(&pool.hedge_after),
                 None => Arc::new(LatencyQuantile::new(HEDGE_QUANTILE)),
@@ -322,6 +398,13 @@
         }
     }
 
+    /// This daemon's part of the retries beyond the share: half of it is left
+    /// for those that a restart forgets.
+    fn retry_part(&self) -> f64 {
+        let daemons = self.view.table().vms().count().max(1) as f64;
+        (self.retry_slack / daemons / 2.0).max(1.0)
+    }
+
     /// State of a backend server that is new here.
     fn make_server(&self, backend: Backend) -> Option<Arc<ServerState>> {
         let distance = self.view.distance(&backend.vm);
@@ -341,6 +424,7 @@
             start: Instant::now(),
             weight: AtomicU32::new(FULL_WEIGHT),
             canary: AtomicU8::new(NO_CANARY),
+            failing_ms: AtomicU64::new(0),
         }))
     }
 
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -19,7 +19,7 @@
     ingress::Ingress,
     link::LinkError,
     metrics::ServiceLabel,
-    pool::{PoolState, ServerState},
+    pool::{Choice, PoolState, ServerState},
     resume::resumable,
     wire::{self, Attempt, EgressOutcome, EgressReport, NotRun},
 };
@@ -73,6 +73,8 @@
     options: RunOptions,
     request: u64,
     tried: Vec<ServerId>,
+    /// Whether it was sent to a server that is taken for failing.
+    forced: bool,
     reason: Option<NotRun>,
     running: FuturesUnordered<BoxFuture<'a, (AttemptId, AttemptResult)>>,
 }
@@ -96,6 +98,7 @@
             options,
             request: rand::random(),
             tried: Vec::new(),
+            forced: false,
             reason: None,
             running: FuturesUnordered::new(),
         }
@@ -198,18 +201,32 @@
             false => None,
         };
         let is_canary = canary.is_some();
-        let chosen = canary.or_else(|| self.pool.choose(view, &self.tried));
+        let chosen = match canary {
+            Some(server) => Some(Choice {
+                server,
+                forced: false,
+            }),
+            None => self
+                .pool
+                .choose(view, &self.tried, self.options.idempotent)
+                // Two forced attempts would repeat each other.
+                .filter(|choice| !choice.forced || !self.forced),
+        };
         let body = match &self.replay {
             Some(bytes) => Some(full_body(bytes.clone())),
             None => self.body.take(),
         };
-        let (Some(server), Some(body)) = (chosen, body) else {
+        let (Some(Choice { server, forced }), Some(body)) = (chosen, body) else {
             self.running
                 .push(Box::pin(async move { (id, AttemptResult::NoServer) }));
             return;
         };
         self.tried.push(server.backend.id.clone());
-        let attempt = self.attempt(&server);
+        self.forced |= forced;
+        let attempt = Attempt {
+            forced,
+            ..self.attempt(&server)
+        };
         let request = self.request(body);
         let call = AttemptCall {
             ingress: self.ingress,
@@ -244,6 +261,8 @@
             rank: self.options.rank,
             internal: self.options.internal,
             bulk: self.options.bulk,
+            repeatable: self.options.idempotent,
+            forced: false,
             remaining_us: remaining.as_micros() as u64,
             slow_limit_us: self.pool.slow_limit_us.load(Ordering::Relaxed),
             target: wire::target_hash(self.head.method.as_str(), target),
@@ -362,8 +381,10 @@
                 AttemptResult::Answer(Box::new(response), service)
             }
             (EgressOutcome::NotRun(reason), _) => {
-                if let (NotRun::Leaving, Some(links)) = (reason, &self.server.links) {
-                    links.rest();
+                match (reason, &self.server.links) {
+                    (NotRun::Leaving, Some(links)) => links.rest(),
+                    (NotRun::Failing, _) => self.server.note_gate(true),
+                    _ => {}
                 }
                 AttemptResult::Ended(self.end_of(reason), Some(reason))
             }
@@ -410,10 +431,9 @@
     /// How an egress's refusal ends the attempt.
     fn end_of(&self, reason: NotRun) -> AttemptEnd {
         match reason {
-            NotRun::Leaving | NotRun::Unreachable | NotRun::Misdirected => AttemptEnd::Moved,
-            NotRun::Overloaded | NotRun::Shedding if self.pool.has_room(&self.tried) => {
-                AttemptEnd::Moved
-            }
+            NotRun::Leaving | NotRun::Unreachable | NotRun::Failing => AttemptEnd::Moved,
+            NotRun::Misdirected | NotRun::Shedding => AttemptEnd::Rejected,
+            NotRun::Overloaded if self.pool.has_room(&self.tried) => AttemptEnd::Moved,
             _ => AttemptEnd::Shed,
         }
     }
--- a/crates/serve/src/wire.rs
+++ b/crates/serve/src/wire.rs
@@ -61,6 +61,11 @@
     pub internal: bool,
     /// Long transfer.
     pub bulk: bool,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether it goes to a backend server that is taken for failing, since
+    /// there is no better one.
+    pub forced: bool,
     /// Time left, in microseconds.
     pub remaining_us: u64,
     /// Time after which an unanswered request counts as slow, in
@@ -94,6 +99,8 @@
     Withdrawn,
     /// The backend server is not on this VM.
     Misdirected,
+    /// The backend server is taken for failing.
+    Failing,
 }
 
 impl fmt::Display for NotRun {
@@ -106,6 +113,7 @@
             Self::Unreachable => "unreachable",
             Self::Withdrawn => "withdrawn",
             Self::Misdirected => "misdirected",
+            Self::Failing => "failing",
         })
     }
 }
@@ -136,6 +144,8 @@
     pub service_us: u64,
     /// Evidence about the backend server.
     pub counts: Counts,
+    /// Whether the egress keeps ordinary requests away from it.
+    pub closed: bool,
 }
 
 /// Seals and opens header values with the fleet secret.
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -12,7 +12,9 @@
 };
 use ids::FastMap;
 use reader::HttpPlatformBuilder;
-use serve::{Budgets, Daemon, DaemonBuilder, FleetSecret, LogSettings, Policy, Settings, SourceKind};
+use serve::{
+    Budgets, Daemon, DaemonBuilder, FleetSecret, LogSettings, Policy, Settings, SourceKind,
+};
 use tokio::time::Instant;
 
 use crate::commands::{CommandError, start_runtime};
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -18,7 +18,9 @@
     rt::TokioExecutor,
 };
 use reader::HttpPlatformBuilder;
-use serve::{Budgets, Daemon, DaemonBuilder, FleetSecret, LogSettings, Policy, Settings, SourceKind};
+use serve::{
+    Budgets, Daemon, DaemonBuilder, FleetSecret, LogSettings, Policy, Settings, SourceKind,
+};
 
 /// Secret of test fleets.
 pub const SECRET: &str = "a secret for tests only";
