--- /dev/null
+++ b/crates/hop/src/book.rs
@@ -0,0 +1,185 @@
+//! The egress's side: which offers wait, are granted, or have ended.
+//!
+//! Pattern: reservation with a short time to live. A grant that is not
+//! committed in time is given on, and its number is dead from then on, so
+//! that a request which comes late is refused with certainty.
+
+use std::time::Duration;
+
+use ids::{FastMap, MonoTime, VmId};
+
+use crate::OfferId;
+
+/// Time for which a granted slot waits for its request: some round trips and
+/// a turn of a busy process.
+const GRANT_TIME: Duration = Duration::from_millis(250);
+/// Time for which ended offers are remembered: longer than a datagram or a
+/// check of the ingress may be on its way.
+const REMEMBER: Duration = Duration::from_secs(8);
+/// Time between clean-ups of ended offers.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// An offer of an ingress.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct OfferKey {
+    /// VM of the ingress.
+    pub from: VmId,
+    /// Number of the offer there.
+    pub offer: OfferId,
+}
+
+/// State of an offer. `W` waits for a slot, `G` holds one.
+#[derive(Clone, Debug)]
+enum OfferState<W, G> {
+    Waiting(W),
+    Granted { held: G, until: MonoTime },
+    Committed { at: MonoTime },
+    Ended { at: MonoTime },
+}
+
+/// What is known of an offer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OfferAnswer {
+    /// Nothing until now; it is to be queued.
+    New,
+    /// It waits for a slot.
+    Waiting,
+    /// It holds a slot.
+    Granted,
+    /// Its request has come.
+    Committed,
+    /// It was refused, withdrawn or lapsed, and will never run.
+    Ended,
+}
+
+/// All offers at one egress.
+#[derive(Clone, Debug)]
+pub struct OfferBook<W, G> {
+    offers: FastMap<OfferKey, OfferState<W, G>>,
+    swept: MonoTime,
+}
+
+impl<W, G> Default for OfferBook<W, G> {
+    fn default() -> Self {
+        Self {
+            offers: FastMap::default(),
+            swept: MonoTime::ZERO,
+        }
+    }
+}
+
+impl<W, G> OfferBook<W, G> {
+    /// Time after a grant at which [`OfferBook::expire`] is due.
+    pub const GRANT_TIME: Duration = GRANT_TIME;
+
+    /// Takes an offer; a new one waits from now on, by what `wait` gives.
+    pub fn offer(&mut self, now: MonoTime, key: OfferKey, wait: impl FnOnce() -> W) -> OfferAnswer {
+        self.sweep(now);
+        if let Some(state) = self.offers.get(&key) {
+            return state.answer(now);
+        }
+        self.offers.insert(key, OfferState::Waiting(wait()));
+        OfferAnswer::New
+    }
+
+    /// A waiting offer has a slot.
+    ///
+    /// # Errors
+    ///
+    /// Gives the slot back if the offer was withdrawn meanwhile.
+    pub fn grant(&mut self, now: MonoTime, key: &OfferKey, held: G) -> Result<(), G> {
+        match self.offers.get_mut(key) {
+            Some(state @ OfferState::Waiting(_)) => {
+                let until = now + GRANT_TIME;
+                *state = OfferState::Granted { held, until };
+                Ok(())
+            }
+            _ => Err(held),
+        }
+    }
+
+    /// A waiting offer gets no slot.
+    pub fn refuse(&mut self, now: MonoTime, key: &OfferKey) {
+        if let Some(state @ OfferState::Waiting(_)) = self.offers.get_mut(key) {
+            *state = OfferState::Ended { at: now };
+        }
+    }
+
+    /// Ends an offer that was not committed, also one that is not known yet.
+    pub fn withdraw(&mut self, now: MonoTime, key: OfferKey) -> OfferAnswer {
+        let ended = OfferState::Ended { at: now };
+        let state = self.offers.entry(key).or_insert(ended);
+        if let OfferState::Waiting(_) | OfferState::Granted { .. } = state {
+            *state = OfferState::Ended { at: now };
+        }
+        state.answer(now)
+    }
+
+    /// The request of a granted offer has come: gives its slot.
+    ///
+    /// # Errors
+    ///
+    /// The state of an offer that holds no slot; its request must not run.
+    pub fn commit(&mut self, now: MonoTime, key: &OfferKey) -> Result<G, OfferAnswer> {
+        let Some(state) = self.offers.get_mut(key) else {
+            let ended = OfferState::Ended { at: now };
+            self.offers.insert(key.clone(), ended);
+            return Err(OfferAnswer::Ended);
+        };
+        match state.answer(now) {
+            OfferAnswer::Granted => {}
+            OfferAnswer::Committed => return Err(OfferAnswer::Committed),
+            other => {
+                *state = OfferState::Ended { at: now };
+                return Err(other);
+            }
+        }
+        match std::mem::replace(state, OfferState::Committed { at: now }) {
+            OfferState::Granted { held, .. } => Ok(held),
+            _ => Err(OfferAnswer::Ended),
+        }
+    }
+
+    /// Ends grants that have run out; their slots are dropped.
+    pub fn expire(&mut self, now: MonoTime) {
+        for state in self.offers.values_mut() {
+            if matches!(state, OfferState::Granted { until, .. } if *until <= now) {
+                *state = OfferState::Ended { at: now };
+            }
+        }
+    }
+
+    /// Number of offers that are remembered.
+    pub fn len(&self) -> usize {
+        self.offers.len()
+    }
+
+    /// Whether no offer is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.offers.is_empty()
+    }
+
+    /// Forgets what ended long ago.
+    fn sweep(&mut self, now: MonoTime) {
+        if now.since(self.swept) < SWEEP_EVERY {
+            return;
+        }
+        self.swept = now;
+        self.offers.retain(|_, state| match state {
+            OfferState::Committed { at } | OfferState::Ended { at } => now.since(*at) < REMEMBER,
+            _ => true,
+        });
+    }
+}
+
+impl<W, G> OfferState<W, G> {
+    /// What is said of it; a grant that has run out counts for nothing.
+    fn answer(&self, now: MonoTime) -> OfferAnswer {
+        match self {
+            Self::Waiting(_) => OfferAnswer::Waiting,
+            Self::Granted { until, .. } if *until > now => OfferAnswer::Granted,
+            Self::Committed { .. } => OfferAnswer::Committed,
+            Self::Granted { .. } | Self::Ended { .. } => OfferAnswer::Ended,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hop/tests/slot_search.rs
@@ -0,0 +1,120 @@
+//! The search for a slot: repeated, tied, withdrawn, never committed twice.
+
+use hop::{
+    NotRun, OfferId, OfferReply, SearchAction, SearchEvent, SearchOptions, ServerLoad, SlotSearch,
+};
+use ids::MonoTime;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn search() -> SlotSearch {
+    let options = SearchOptions {
+        deadline: at(3_000),
+        most_offers: 4,
+    };
+    let mut search = SlotSearch::new(options, OfferId(0));
+    let actions = search.handle(at(0), SearchEvent::Start);
+    assert_eq!(actions, [SearchAction::Offer(OfferId(0))]);
+    search
+}
+
+fn waiting(id: u64) -> SearchEvent {
+    SearchEvent::Reply(OfferId(id), OfferReply::Waiting(ServerLoad::default()))
+}
+
+fn granted(id: u64) -> SearchEvent {
+    SearchEvent::Reply(OfferId(id), OfferReply::Granted)
+}
+
+fn refused(id: u64, reason: NotRun) -> SearchEvent {
+    SearchEvent::Reply(
+        OfferId(id),
+        OfferReply::Refused(reason, ServerLoad::default()),
+    )
+}
+
+#[test]
+fn granted_at_once() {
+    let mut search = search();
+    let actions = search.handle(at(1), granted(0));
+    assert_eq!(actions, [SearchAction::Commit(OfferId(0))]);
+}
+
+#[test]
+fn silence_goes_elsewhere() {
+    let mut search = search();
+    let actions = search.handle(at(26), SearchEvent::Tick);
+    assert_eq!(actions, [SearchAction::Repeat(OfferId(0))]);
+    let actions = search.handle(at(41), SearchEvent::Tick);
+    assert_eq!(actions, [SearchAction::Offer(OfferId(1))]);
+    // The silent one may still be first; the other is withdrawn then.
+    let actions = search.handle(at(45), granted(0));
+    let expected = [
+        SearchAction::Withdraw(OfferId(1)),
+        SearchAction::Commit(OfferId(0)),
+    ];
+    assert_eq!(actions, expected);
+}
+
+#[test]
+fn silent_daemon_is_given_up() {
+    let mut search = search();
+    let mut noted = false;
+    let mut now = at(0);
+    while now < at(1_000) {
+        now = search.next_tick();
+        let actions = search.handle(now, SearchEvent::Tick);
+        noted |= actions.contains(&SearchAction::NoteSilent(OfferId(0)));
+    }
+    assert!(noted);
+    // A grant that comes after all is given back.
+    let actions = search.handle(now, granted(0));
+    assert_eq!(actions, [SearchAction::Withdraw(OfferId(0))]);
+}
+
+#[test]
+fn waiting_offer_is_tied() {
+    let mut search = search();
+    assert_eq!(search.handle(at(1), waiting(0)), []);
+    let actions = search.handle(at(16), SearchEvent::Tick);
+    assert_eq!(actions, [SearchAction::Offer(OfferId(1))]);
+    assert_eq!(search.handle(at(17), waiting(1)), []);
+    let actions = search.handle(at(300), granted(1));
+    let expected = [
+        SearchAction::Withdraw(OfferId(0)),
+        SearchAction::Commit(OfferId(1)),
+    ];
+    assert_eq!(actions, expected);
+}
+
+#[test]
+fn refusals_move_on() {
+    let mut search = search();
+    let actions = search.handle(at(1), refused(0, NotRun::Failing));
+    assert_eq!(actions, [SearchAction::Offer(OfferId(1))]);
+    let actions = search.handle(at(2), refused(1, NotRun::Overloaded));
+    assert_eq!(actions, [SearchAction::Offer(OfferId(2))]);
+    let actions = search.handle(at(3), SearchEvent::NoServer(OfferId(2)));
+    assert_eq!(actions, [SearchAction::Fail(Some(NotRun::Overloaded))]);
+}
+
+#[test]
+fn deadline_withdraws() {
+    let mut search = search();
+    search.handle(at(1), waiting(0));
+    let actions = search.handle(at(3_000), SearchEvent::Tick);
+    let expected = [
+        SearchAction::Withdraw(OfferId(0)),
+        SearchAction::Fail(Some(NotRun::Expired)),
+    ];
+    assert_eq!(actions, expected);
+}
+
+#[test]
+fn no_server_at_all() {
+    let mut search = search();
+    let actions = search.handle(at(1), SearchEvent::NoServer(OfferId(0)));
+    assert_eq!(actions, [SearchAction::Fail(None)]);
+}
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -2,6 +2,7 @@
 
 use config::Delta;
 use health::Counts;
+use hop::HopMessage;
 use ids::{Revision, ServerId};
 use limit::LimitMessage;
 use serde::{Deserialize, Serialize};
@@ -33,6 +34,8 @@
         /// The step to it; a JSON text, since records are published as such.
         delta: Option<Box<DeltaText>>,
     },
+    /// Offers of requests, and what becomes of them.
+    Hop(HopMessage),
     /// Counters of a backend server beside the sender.
     Evidence {
         /// The backend server.
--- a/crates/mesh/src/replay.rs
+++ b/crates/mesh/src/replay.rs
@@ -1,5 +1,7 @@
 //! Drops frames that were seen before.
 
+use std::collections::VecDeque;
+
 use ids::{FastMap, VmId};
 
 /// Frames that may overtake each other.
@@ -14,13 +16,18 @@
     seen: u64,
 }
 
+/// Lives of a sender that are remembered after the present one.
+const EARLIER_LIVES: usize = 16;
+
 /// Remembers which frames came, by sender.
 ///
-/// A sender numbers its frames from its start, and its start by the time of
-/// day in milliseconds, which rises from one life to the next.
+/// A sender numbers its frames from its start, and its lives at random: the
+/// time of day may jump back between two of them. Frames of the latest
+/// earlier lives are known and dropped.
 #[derive(Clone, Debug, Default)]
 pub struct ReplayGuard {
     senders: FastMap<VmId, SenderWindow>,
+    earlier: FastMap<VmId, VecDeque<u64>>,
 }
 
 impl ReplayGuard {
@@ -35,23 +42,29 @@
             self.senders.insert(from.clone(), window);
             return true;
         };
-        match boot {
-            boot if boot < window.boot => false,
-            boot if boot > window.boot => {
-                *window = SenderWindow {
-                    boot,
-                    highest: number,
-                    seen: 1,
-                };
-                true
-            }
-            _ => window.take(number),
+        if boot == window.boot {
+            return window.take(number);
+        }
+        let earlier = self.earlier.entry(from.clone()).or_default();
+        if earlier.contains(&boot) {
+            return false;
         }
+        earlier.push_back(window.boot);
+        if earlier.len() > EARLIER_LIVES {
+            earlier.pop_front();
+        }
+        *window = SenderWindow {
+            boot,
+            highest: number,
+            seen: 1,
+        };
+        true
     }
 
     /// Forgets senders that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(&VmId) -> bool) {
         self.senders.retain(|vm, _| keep(vm));
+        self.earlier.retain(|vm, _| keep(vm));
     }
 }
 
--- /dev/null
+++ b/crates/serve/src/attempt.rs
@@ -0,0 +1,592 @@
+//! One attempt: the search for a slot, the commit, the answer.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{Request, Response, Version, http::request::Parts};
+use ids::{FastMap, MonoTime, ServerId, VmId, Weight};
+use route::AttemptEnd;
+
+use hop::{OfferId, OfferJob, OfferReply, SearchAction, SearchEvent, SearchOptions, SlotSearch};
+
+use crate::{
+    body::{HeldBody, PrefixedBody, ProxyBody, full_body, hold_body},
+    control::ControlEvent,
+    egress::EgressAnswer,
+    hop::HopCall,
+    ingress::Ingress,
+    link::LinkError,
+    pool::{Choice, PoolState, ServerState},
+    run::RunOptions,
+    wire::{self, Attempt, EgressOutcome, EgressReport, NotRun},
+};
+
+/// Largest answer that is held until it is whole.
+const HELD_ANSWER_BYTES: usize = 1024 * 1024;
+/// Most servers that one search asks.
+const MOST_OFFERS: usize = 10;
+/// Time between checks of a committed request that has no answer.
+const CHECK_EVERY: Duration = Duration::from_millis(250);
+/// Time that a lost connection's request has to be accounted for.
+const CHECK_WAIT: Duration = Duration::from_millis(120);
+/// Checks without an answer after which a request that may run twice is given
+/// up at a daemon.
+const MOST_CHECKS: u32 = 3;
+
+/// How an attempt ended.
+pub enum AttemptResult {
+    /// With an answer that can be delivered.
+    Answer(Box<Response<ProxyBody>>, Duration),
+    /// With an error of the backend server, after which another may do better.
+    Failed(Box<Response<ProxyBody>>, Duration),
+    /// Without one.
+    Ended(AttemptEnd, Option<NotRun>),
+    /// There was no backend server to send it to.
+    NoServer,
+}
+
+/// What an attempt needs to know of its request.
+pub struct AttemptCall<'a> {
+    /// The ingress.
+    pub ingress: &'a Ingress,
+    /// The backend servers.
+    pub pool: Arc<PoolState>,
+    /// The request.
+    pub source: Arc<RequestSource>,
+    /// Servers with an offer that is not decided or was refused.
+    asked: Vec<ServerId>,
+    offers: FastMap<OfferId, Choice>,
+    /// Whether a server that is taken for failing was asked.
+    forced: bool,
+    /// Tells how it went if this is a canary.
+    canary: Option<CanaryGuard<'a>>,
+}
+
+/// A request, for as many attempts as it may take.
+pub struct RequestSource {
+    /// Random number of the request, the same for all its attempts.
+    pub number: u64,
+    /// What is known of it.
+    pub options: RunOptions,
+    /// Its head.
+    pub head: Parts,
+    /// Its body, if it was held in whole.
+    pub replay: Option<Bytes>,
+    /// Its body, if it can be sent only once.
+    pub body: Mutex<Option<ProxyBody>>,
+    /// Servers that run it, or may have.
+    pub ran_at: Mutex<Vec<ServerId>>,
+}
+
+impl RequestSource {
+    /// The request to forward; `None` if its body is used up.
+    fn request(&self) -> Option<Request<ProxyBody>> {
+        let body = match &self.replay {
+            Some(bytes) => full_body(bytes.clone()),
+            None => lock(&self.body).take()?,
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = self.head.method.clone();
+        // Backend servers and peers get the origin form of the target.
+        let target = self.head.uri.path_and_query();
+        *request.uri_mut() = target.map_or_else(Default::default, |path| path.clone().into());
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = self.head.headers.clone();
+        Some(request)
+    }
+
+    /// Hash that binds metadata to the request.
+    fn target(&self) -> u64 {
+        let target = self.head.uri.path_and_query();
+        let target = target.map_or("/", |target| target.as_str());
+        wire::target_hash(self.head.method.as_str(), target)
+    }
+}
+
+/// Locks what no holder panics with.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poison| poison.into_inner())
+}
+
+/// A slot that an egress holds for the request.
+struct GrantedSlot {
+    offer: OfferId,
+    choice: Choice,
+}
+
+/// Offers that are to be taken back when the search is dropped.
+struct OpenOffers {
+    call: HopCall,
+    open: VecDeque<(VmId, OfferId)>,
+}
+
+impl Drop for OpenOffers {
+    fn drop(&mut self) {
+        for (vm, offer) in &self.open {
+            self.call.withdraw(vm, *offer);
+        }
+    }
+}
+
+impl OpenOffers {
+    /// Removes an offer, and gives the VM that it was made to.
+    fn remove(&mut self, offer: OfferId) -> Option<VmId> {
+        let place = self.open.iter().position(|(_, other)| *other == offer)?;
+        self.open.remove(place).map(|(vm, _)| vm)
+    }
+}
+
+impl<'a> AttemptCall<'a> {
+    /// An attempt that has not begun.
+    pub fn new(ingress: &'a Ingress, pool: Arc<PoolState>, source: Arc<RequestSource>) -> Self {
+        Self {
+            ingress,
+            pool,
+            source,
+            asked: Vec::new(),
+            offers: FastMap::default(),
+            forced: false,
+            canary: None,
+        }
+    }
+
+    /// Runs the attempt to its end.
+    pub async fn run(mut self, may_canary: bool) -> AttemptResult {
+        let mut offers = OpenOffers {
+            call: self.ingress.port.call(),
+            open: VecDeque::new(),
+        };
+        let slot = match self.find_slot(&mut offers, may_canary).await {
+            Ok(slot) => slot,
+            Err(None) => return AttemptResult::NoServer,
+            Err(Some(reason)) => {
+                return AttemptResult::Ended(self.end_of(reason), Some(reason));
+            }
+        };
+        let Some(request) = self.source.request() else {
+            offers.open.push_back((slot.vm(), slot.offer));
+            return AttemptResult::NoServer;
+        };
+        lock(&self.source.ran_at).push(slot.choice.server.backend.id.clone());
+        let _flight = slot.choice.server.begin();
+        let started = self.ingress.clock.now();
+        let attempt = self.attempt(&slot);
+        let result = self
+            .commit(&mut offers.call, &slot, &attempt, request)
+            .await;
+        if let Some(canary) = &mut self.canary {
+            canary.good = matches!(&result, AttemptResult::Answer(..));
+        }
+        if let AttemptResult::Answer(..) = &result {
+            let total = self.ingress.clock.now().since(started);
+            self.pool.hedge_after.note(total);
+        }
+        result
+    }
+
+    /// What is known of the request.
+    fn options(&self) -> &RunOptions {
+        &self.source.options
+    }
+
+    /// Searches for a slot. Dropping the search takes all offers back.
+    async fn find_slot(
+        &mut self,
+        offers: &mut OpenOffers,
+        may_canary: bool,
+    ) -> Result<GrantedSlot, Option<NotRun>> {
+        let clock = self.ingress.clock;
+        let options = SearchOptions {
+            deadline: self.options().deadline,
+            most_offers: MOST_OFFERS,
+        };
+        let mut search = SlotSearch::new(options, offers.call.first_id());
+        let mut events = VecDeque::from([SearchEvent::Start]);
+        let mut may_canary = may_canary;
+        loop {
+            while let Some(event) = events.pop_front() {
+                for action in search.handle(clock.now(), event) {
+                    match action {
+                        SearchAction::Offer(id) => {
+                            if !self.make_offer(offers, id, std::mem::take(&mut may_canary)) {
+                                events.push_back(SearchEvent::NoServer(id));
+                            }
+                        }
+                        SearchAction::Repeat(id) => self.repeat_offer(offers, id),
+                        SearchAction::Withdraw(id) => {
+                            if let Some(vm) = offers.remove(id) {
+                                offers.call.withdraw(&vm, id);
+                            }
+                        }
+                        SearchAction::NoteSilent(id) => self.note_silent(id),
+                        SearchAction::Commit(id) => {
+                            offers.remove(id);
+                            if let Some(choice) = self.offers.remove(&id) {
+                                return Ok(GrantedSlot { offer: id, choice });
+                            }
+                        }
+                        SearchAction::Fail(reason) => return Err(reason),
+                    }
+                }
+            }
+            let tick = clock.instant(search.next_tick());
+            tokio::select! {
+                biased;
+                Some((id, reply)) = offers.call.replies.recv() => {
+                    self.note_reply(id, &reply);
+                    if let OfferReply::Refused(..) = reply {
+                        offers.remove(id);
+                    }
+                    events.push_back(SearchEvent::Reply(id, reply));
+                }
+                () = tokio::time::sleep_until(tick) => events.push_back(SearchEvent::Tick),
+            }
+        }
+    }
+
+    /// Offers the request to the best server that was not asked; false if
+    /// there is none.
+    fn make_offer(&mut self, offers: &mut OpenOffers, id: OfferId, may_canary: bool) -> bool {
+        let view = &self.ingress.view;
+        let canary = match may_canary {
+            true => self.pool.choose_canary(view),
+            false => None,
+        };
+        let is_canary = canary.is_some();
+        let chosen = match canary {
+            Some(server) => Some(Choice {
+                server,
+                forced: false,
+            }),
+            None => {
+                let mut tried = self.asked.clone();
+                tried.extend(lock(&self.source.ran_at).iter().cloned());
+                let chosen = self.pool.choose(view, &tried, self.options().idempotent);
+                // Two forced offers would repeat each other.
+                chosen.filter(|choice| !choice.forced || !self.forced)
+            }
+        };
+        let Some(choice) = chosen else {
+            return false;
+        };
+        self.forced |= choice.forced;
+        if is_canary {
+            self.canary = Some(CanaryGuard::new(self.ingress, &choice.server));
+        }
+        self.asked.push(choice.server.backend.id.clone());
+        let vm = choice.server.backend.vm.clone();
+        offers.call.offer(&vm, id, self.job(&choice));
+        offers.open.push_back((vm, id));
+        self.offers.insert(id, choice);
+        true
+    }
+
+    /// Sends an offer again.
+    fn repeat_offer(&self, offers: &OpenOffers, id: OfferId) {
+        if let Some(choice) = self.offers.get(&id) {
+            let vm = &choice.server.backend.vm;
+            offers.call.offer(vm, id, self.job(choice));
+        }
+    }
+
+    /// What the egress has to know.
+    fn job(&self, choice: &Choice) -> OfferJob {
+        let options = self.options();
+        let account = options.account.as_ref();
+        let remaining = self.ingress.clock.until(options.deadline);
+        OfferJob {
+            server: choice.server.backend.id.clone(),
+            account: account.map(|account| account.id.clone()),
+            key: options.key,
+            weight: account.map_or(Weight(1), |account| account.weight),
+            rank: options.rank,
+            internal: options.internal,
+            bulk: options.bulk,
+            repeatable: options.idempotent,
+            forced: choice.forced,
+            remaining_us: remaining.as_micros() as u64,
+        }
+    }
+
+    /// Takes load and evidence from an answer to an offer.
+    fn note_reply(&self, id: OfferId, reply: &OfferReply) {
+        let Some(choice) = self.offers.get(&id) else {
+            return;
+        };
+        match reply {
+            OfferReply::Waiting(load) => choice.server.note_load(load, 0),
+            OfferReply::Refused(reason, load) => {
+                choice.server.note_load(load, 0);
+                match (reason, &choice.server.links) {
+                    (NotRun::Leaving, Some(links)) => links.rest(),
+                    (NotRun::Failing, _) => choice.server.note_gate(true),
+                    _ => {}
+                }
+            }
+            OfferReply::Granted | OfferReply::Committed => {}
+        }
+    }
+
+    /// The daemon beside a server does not answer.
+    fn note_silent(&self, id: OfferId) {
+        if let Some(choice) = self.offers.get(&id) {
+            log::info!(
+                "ingress: request {:016x}, no answer from {} beside {}.",
+                self.source.number,
+                choice.server.backend.vm,
+                choice.server.backend.id
+            );
+            choice.server.note_silent();
+            self.note_unreached(&choice.server);
+        }
+    }
+
+    /// Metadata of the request at the egress.
+    fn attempt(&self, slot: &GrantedSlot) -> Attempt {
+        let account = self.options().account.as_ref();
+        let remaining = self.ingress.clock.until(self.options().deadline);
+        Attempt {
+            request: self.source.number,
+            from: self.ingress.view.vm.clone(),
+            offer: slot.offer,
+            server: slot.choice.server.backend.id.clone(),
+            account: account.map(|account| account.id.clone()),
+            caller: self.ingress.local_service.clone(),
+            repeatable: self.options().idempotent,
+            remaining_us: remaining.as_micros() as u64,
+            slow_limit_us: self.pool.slow_limit_us.load(Ordering::Relaxed),
+            target: self.source.target(),
+        }
+    }
+
+    /// Sends the request to where it has a slot, and follows it.
+    async fn commit(
+        &self,
+        call: &mut HopCall,
+        slot: &GrantedSlot,
+        attempt: &Attempt,
+        request: Request<ProxyBody>,
+    ) -> AttemptResult {
+        let server = &slot.choice.server;
+        let sent = async {
+            match &server.links {
+                None => Ok(self.ingress.egress.commit(attempt, request).await),
+                Some(_) => self.call_peer(server, attempt, request).await,
+            }
+        };
+        tokio::pin!(sent);
+        let is_peer = server.links.is_some();
+        let mut check_at = self.ingress.clock.now() + CHECK_EVERY;
+        let mut unheard = 0;
+        let result = loop {
+            tokio::select! {
+                biased;
+                result = &mut sent => break result,
+                Some((id, reply)) = call.replies.recv() => match reply {
+                    OfferReply::Refused(reason, _) if id == slot.offer => {
+                        return AttemptResult::Ended(AttemptEnd::Moved, Some(reason));
+                    }
+                    OfferReply::Committed if id == slot.offer => unheard = 0,
+                    _ => {}
+                },
+                () = self.sleep_until(check_at), if is_peer => {
+                    if unheard >= MOST_CHECKS && self.options().idempotent {
+                        self.note_unreached(server);
+                        return AttemptResult::Ended(AttemptEnd::Lost, None);
+                    }
+                    unheard += 1;
+                    call.check(&server.backend.vm, slot.offer);
+                    check_at = self.ingress.clock.now() + CHECK_EVERY * unheard;
+                }
+            }
+        };
+        match result {
+            Ok(answer) => self.read_answer(server, answer).await,
+            Err(LinkError::Full) => {
+                call.withdraw(&server.backend.vm, slot.offer);
+                AttemptResult::Ended(AttemptEnd::Unsent, Some(NotRun::Overloaded))
+            }
+            Err(LinkError::Unsent(_)) => {
+                call.withdraw(&server.backend.vm, slot.offer);
+                self.note_unreached(server);
+                AttemptResult::Ended(AttemptEnd::Unsent, Some(NotRun::Unreachable))
+            }
+            Err(LinkError::Lost(cause)) => {
+                log::info!(
+                    "ingress: request {:016x}, connection to {} lost: {cause}.",
+                    self.source.number,
+                    server.backend.vm
+                );
+                self.note_unreached(server);
+                self.account_for(call, slot).await
+            }
+        }
+    }
+
+    /// Finds out whether a request whose connection was lost had arrived.
+    async fn account_for(&self, call: &mut HopCall, slot: &GrantedSlot) -> AttemptResult {
+        let end = self.ingress.clock.now() + CHECK_WAIT;
+        let lost = AttemptResult::Ended(AttemptEnd::Lost, None);
+        for _ in 0..MOST_CHECKS {
+            call.check(&slot.vm(), slot.offer);
+            let step = (self.ingress.clock.now() + CHECK_WAIT / MOST_CHECKS).min(end);
+            loop {
+                tokio::select! {
+                    biased;
+                    Some((id, reply)) = call.replies.recv() => match reply {
+                        OfferReply::Refused(reason, _) if id == slot.offer => {
+                            return AttemptResult::Ended(AttemptEnd::Moved, Some(reason));
+                        }
+                        OfferReply::Committed if id == slot.offer => return lost,
+                        _ => {}
+                    },
+                    () = self.sleep_until(step) => break,
+                }
+            }
+        }
+        lost
+    }
+
+    /// Waits for a time.
+    async fn sleep_until(&self, time: MonoTime) {
+        tokio::time::sleep_until(self.ingress.clock.instant(time)).await;
+    }
+
+    /// Sends the attempt to the daemon beside the backend server.
+    async fn call_peer(
+        &self,
+        server: &ServerState,
+        attempt: &Attempt,
+        mut request: Request<ProxyBody>,
+    ) -> Result<EgressAnswer, LinkError> {
+        let Some(links) = &server.links else {
+            return Err(LinkError::Unsent(
+                "the backend server is on this VM".to_owned(),
+            ));
+        };
+        let seal = self.ingress.seal.seal(attempt);
+        request.headers_mut().insert(wire::ATTEMPT, seal);
+        let response = links.send(request).await?;
+        let header = response.headers().get(wire::REPORT);
+        let report = header.and_then(|value| self.ingress.seal.open::<EgressReport>(value));
+        let Some(report) = report else {
+            return Err(LinkError::Lost("the peer sent no report".to_owned()));
+        };
+        let answered = report.outcome == EgressOutcome::Answered;
+        Ok(EgressAnswer {
+            report,
+            response: answered.then_some(response),
+        })
+    }
+
+    /// Takes the report and, if need be, the whole answer.
+    async fn read_answer(&self, server: &Arc<ServerState>, answer: EgressAnswer) -> AttemptResult {
+        let report = answer.report;
+        server.note_load(&report.load, report.service_us);
+        let service = Duration::from_micros(report.service_us);
+        self.note_evidence(server, &report, service);
+        match (report.outcome, answer.response) {
+            (EgressOutcome::Answered, Some(response)) if self.options().idempotent => {
+                self.hold_answer(response, service).await
+            }
+            (EgressOutcome::Answered, Some(response)) => {
+                AttemptResult::Answer(Box::new(response), service)
+            }
+            (EgressOutcome::NotRun(reason), _) => {
+                match (reason, &server.links) {
+                    (NotRun::Leaving, Some(links)) => links.rest(),
+                    (NotRun::Failing, _) => server.note_gate(true),
+                    _ => {}
+                }
+                AttemptResult::Ended(self.end_of(reason), Some(reason))
+            }
+            _ => AttemptResult::Ended(AttemptEnd::Lost, None),
+        }
+    }
+
+    /// Holds a small answer until it is whole, so that one that breaks off
+    /// can be had from another backend server.
+    async fn hold_answer(&self, response: Response<ProxyBody>, service: Duration) -> AttemptResult {
+        let (head, body) = response.into_parts();
+        let body = match hold_body(body, HELD_ANSWER_BYTES).await {
+            Ok(HeldBody::Whole(bytes)) => full_body(bytes),
+            Ok(HeldBody::Larger(first, rest)) => PrefixedBody::new(first, rest).boxed_unsync(),
+            Err(_) => return AttemptResult::Ended(AttemptEnd::Truncated, None),
+        };
+        let failed = head.status.is_server_error();
+        let response = Box::new(Response::from_parts(head, body));
+        match failed {
+            true => AttemptResult::Failed(response, service),
+            false => AttemptResult::Answer(response, service),
+        }
+    }
+
+    /// Passes the egress's evidence on.
+    fn note_evidence(&self, server: &ServerState, report: &EgressReport, service: Duration) {
+        self.ingress.control.tell(ControlEvent::Reported {
+            service: self.pool.service.id.clone(),
+            server: server.backend.id.clone(),
+            counts: report.load.counts,
+            time: (!service.is_zero()).then_some(service),
+        });
+    }
+
+    /// Notes that the VM was not reached from here.
+    fn note_unreached(&self, server: &ServerState) {
+        self.ingress.control.tell(ControlEvent::Path {
+            service: self.pool.service.id.clone(),
+            server: server.backend.id.clone(),
+            reached: false,
+        });
+    }
+
+    /// How an egress's refusal ends the attempt.
+    fn end_of(&self, reason: NotRun) -> AttemptEnd {
+        match reason {
+            NotRun::Misdirected | NotRun::Shedding => AttemptEnd::Rejected,
+            NotRun::Lapsed => AttemptEnd::Moved,
+            // The search has asked all others already.
+            _ => AttemptEnd::Shed,
+        }
+    }
+}
+
+impl GrantedSlot {
+    /// The VM that holds the slot.
+    fn vm(&self) -> VmId {
+        self.choice.server.backend.vm.clone()
+    }
+}
+
+/// Tells the control loop how a canary went, also if it was dropped.
+struct CanaryGuard<'a> {
+    ingress: &'a Ingress,
+    server: Arc<ServerState>,
+    good: bool,
+}
+
+impl<'a> CanaryGuard<'a> {
+    /// A canary that has not gone well yet.
+    fn new(ingress: &'a Ingress, server: &Arc<ServerState>) -> Self {
+        Self {
+            ingress,
+            server: Arc::clone(server),
+            good: false,
+        }
+    }
+}
+
+impl Drop for CanaryGuard<'_> {
+    fn drop(&mut self) {
+        self.ingress.control.tell(ControlEvent::Canary {
+            service: self.server.backend.service.clone(),
+            server: self.server.backend.id.clone(),
+            good: self.good,
+        });
+    }
+}
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -23,12 +23,13 @@
 
 pub use event::{ControlEvent, ControlReceiver, ControlSender, TakenToken, control_queue};
 pub use follow::PlatformFollower;
-pub use peers::{PeerSocket, bind_datagrams};
+pub use peers::{PeerSender, PeerSocket, bind_datagrams};
 pub use pull::{PullRequest, answer_pull};
 
 use crate::{
     clock::MonoClock,
     egress::EgressHub,
+    hop::HopPort,
     metrics::MetricSet,
     pool::PoolTable,
     settings::Policy,
@@ -63,6 +64,8 @@
     pub clock: MonoClock,
     /// The datagram socket.
     pub socket: PeerSocket,
+    /// Offers and their answers.
+    pub port: Arc<HopPort>,
     /// Seals pulls.
     pub seal: HeaderSeal,
     /// The platform, for reads beside the watches.
@@ -294,6 +297,7 @@
                     answer: false,
                 });
             }
+            PeerMessage::Hop(message) => self.parts.port.receive(&from, message),
             PeerMessage::Evidence {
                 server,
                 counts,
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -15,11 +15,13 @@
     admin::AdminDesk,
     clock::MonoClock,
     control::{
-        ControlLoop, ControlParts, PeerSocket, PlatformFollower, bind_datagrams, control_queue,
+        ControlLoop, ControlParts, PeerSender, PeerSocket, PlatformFollower, bind_datagrams,
+        control_queue,
     },
     edge::{EdgeCodec, OwnCodec},
     egress::EgressHub,
     gate::RateGate,
+    hop::HopPort,
     ingress::Ingress,
     link::MAX_IDLE_TIME,
     listener::{Farewell, HttpListener, ListenerLimits},
@@ -90,7 +92,7 @@
     ingress: HttpListener,
     peer: HttpListener,
     admin: HttpListener,
-    datagrams: std::net::UdpSocket,
+    datagrams: tokio::net::UdpSocket,
     addresses: DaemonAddresses,
 }
 
@@ -200,6 +202,14 @@
             Arc::clone(&codec),
         ));
         let seal = HeaderSeal::new(settings.secret_bytes());
+        let peers = PeerSender::new(
+            self.datagrams,
+            settings.secret_bytes(),
+            Arc::clone(&view),
+            Arc::clone(&metrics),
+        );
+        let port = HopPort::new(settings.vm.clone(), Arc::clone(&peers));
+        port.set_egress(&egress);
         let ingress = Arc::new(Ingress {
             view: Arc::clone(&view),
             pools: Arc::clone(&pools),
@@ -207,6 +217,7 @@
             hasher: KeyHasher::new(settings.secret_bytes()),
             codec,
             local_service: settings.service.clone(),
+            port: Arc::clone(&port),
             seal: seal.clone(),
             clock,
             budgets: settings.budgets.clone(),
@@ -235,24 +246,19 @@
             control: control.clone(),
             reader: Arc::clone(&reader),
         };
-        let socket = PeerSocket::new(
-            self.datagrams,
-            settings.secret_bytes(),
-            Arc::clone(&view),
-            Arc::clone(&metrics),
-        );
-        let parts_of_control = socket.map(|socket| ControlParts {
+        let control = ControlParts {
             view: Arc::clone(&view),
             pools: Arc::clone(&pools),
             egress: Arc::clone(&egress),
             metrics,
             clock,
-            socket,
+            socket: PeerSocket::new(peers),
+            port,
             seal,
             platform,
             policy: settings.policy.clone(),
             sender: control,
-        });
+        };
         let stops = [(); 3].map(|()| StopSource::default());
         let parts = [(); 3].map(|()| TaskGroup::new());
         parts[0].spawn(self.ingress.run(
@@ -276,13 +282,8 @@
             },
             stops[2].signal(),
         ));
-        match parts_of_control {
-            Ok(control) => {
-                let control = ControlLoop::new(control, reader);
-                parts[2].spawn(control.run(events, stops[2].signal()));
-            }
-            Err(error) => log::error!("control: no datagrams: {error}; restart the daemon."),
-        }
+        let control = ControlLoop::new(control, reader);
+        parts[2].spawn(control.run(events, stops[2].signal()));
         parts[2].spawn(follower.run(stops[2].signal()));
         parts[2].spawn(probe_all(Arc::clone(&egress), stops[2].signal()));
         Daemon {
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
@@ -15,8 +15,12 @@
 use arc_swap::ArcSwap;
 use config::Backend;
 use health::Counts;
+use hop::{
+    HopMessage, OfferAnswer, OfferBook, OfferId, OfferJob, OfferKey, OfferReply, ServerLoad,
+};
 use hyper::{Request, Response};
-use ids::{FastMap, ServerId};
+use ids::{FastMap, ServerId, VmId};
+use tokio::sync::oneshot;
 
 pub use self::probed::ProbedServer;
 use self::server::{EgressServer, HeldSlot};
@@ -27,6 +31,7 @@
     desk::QueueDesk,
     edge::EdgeCodec,
     evidence::Evidence,
+    hop::HopPort,
     link::LinkPool,
     task::TaskGroup,
     view::FleetView,
@@ -42,6 +47,17 @@
     pub response: Option<Response<ProxyBody>>,
 }
 
+/// Offers at this egress: who waits, and what holds a slot.
+type OfferDesk = OfferBook<oneshot::Sender<()>, HeldSlot>;
+
+/// Key of an offer.
+fn offer_key(from: &VmId, offer: OfferId) -> OfferKey {
+    OfferKey {
+        from: from.clone(),
+        offer,
+    }
+}
+
 /// All backend servers of this VM.
 #[derive(Debug)]
 pub struct EgressHub {
@@ -54,6 +70,7 @@
     control: ControlSender,
     stall_timeout: Duration,
     codec: Arc<dyn EdgeCodec>,
+    book: Mutex<OfferDesk>,
 }
 
 impl EgressHub {
@@ -76,38 +93,159 @@
             control,
             stall_timeout,
             codec,
+            book: Mutex::default(),
         }
     }
 
-    /// Runs an attempt, or says why it did not.
-    pub async fn run(&self, attempt: &Attempt, request: Request<ProxyBody>) -> EgressAnswer {
-        let deadline = self.clock.now() + attempt.remaining();
-        let Some(server) = self.server(&attempt.server) else {
-            return misdirected();
-        };
-        if server.is_shut(attempt) {
-            return server.refused(NotRun::Failing);
+    /// Takes a message about an offer.
+    pub fn receive(self: &Arc<Self>, port: &Arc<HopPort>, from: &VmId, message: HopMessage) {
+        let now = self.clock.now();
+        match message {
+            HopMessage::Offer { offer, job } => self.take_offer(port, from, offer, *job),
+            HopMessage::Withdraw { offer } => {
+                self.book().withdraw(now, offer_key(from, offer));
+            }
+            HopMessage::Check { offer } => {
+                let reply = match self.book().withdraw(now, offer_key(from, offer)) {
+                    OfferAnswer::Committed => OfferReply::Committed,
+                    _ => OfferReply::Refused(NotRun::Lapsed, ServerLoad::default()),
+                };
+                port.send(from, HopMessage::Reply { offer, reply });
+            }
+            HopMessage::Reply { .. } => {}
         }
-        let ticket = match server.acquire(attempt, deadline).await {
-            Ok(ticket) => ticket,
-            Err(refusal) => return server.refused(not_run_of(refusal)),
+    }
+
+    /// Queues an offer, or says again what has become of it.
+    fn take_offer(
+        self: &Arc<Self>,
+        port: &Arc<HopPort>,
+        from: &VmId,
+        offer: OfferId,
+        job: OfferJob,
+    ) {
+        let (withdrawn, withdrawal) = oneshot::channel();
+        let key = offer_key(from, offer);
+        let answer = self
+            .book()
+            .offer(self.clock.now(), key.clone(), || withdrawn);
+        let load = || {
+            let server = self.server(&job.server);
+            server.map_or_else(ServerLoad::default, |server| server.load())
         };
-        // The key may have been withdrawn while the request waited.
-        match attempt.key {
-            Some(digest) if !self.view.table().has_key(&digest) => {
-                return server.refused(NotRun::Withdrawn);
+        let reply = match answer {
+            OfferAnswer::New => {
+                let hub = Arc::clone(self);
+                let port = Arc::clone(port);
+                self.tasks.spawn(async move {
+                    hub.decide_offer(&port, key, job, withdrawal).await;
+                });
+                return;
+            }
+            OfferAnswer::Waiting => OfferReply::Waiting(load()),
+            OfferAnswer::Granted => OfferReply::Granted,
+            OfferAnswer::Committed => OfferReply::Committed,
+            OfferAnswer::Ended => OfferReply::Refused(NotRun::Lapsed, load()),
+        };
+        port.send(from, HopMessage::Reply { offer, reply });
+    }
+
+    /// Waits for a slot for an offer, tells its ingress, and gives the slot on
+    /// if the request does not come.
+    async fn decide_offer(
+        &self,
+        port: &Arc<HopPort>,
+        key: OfferKey,
+        job: OfferJob,
+        withdrawal: oneshot::Receiver<()>,
+    ) {
+        let offer = key.offer;
+        let tell = |reply| port.send(&key.from, HopMessage::Reply { offer, reply });
+        let held = match self.server(&job.server) {
+            None => Err((NotRun::Misdirected, ServerLoad::default())),
+            Some(server) => {
+                let waiting = || tell(OfferReply::Waiting(server.load()));
+                let held = tokio::select! {
+                    biased;
+                    held = self.hold_slot(&server, &job, waiting) => held,
+                    _ = withdrawal => return,
+                };
+                held.map_err(|reason| (reason, server.load()))
+            }
+        };
+        let now = self.clock.now();
+        match held {
+            Ok(held) => {
+                let granted = self.book().grant(now, &key, held);
+                // What was withdrawn meanwhile gives its slot back.
+                if granted.is_err() {
+                    return;
+                }
+                tell(OfferReply::Granted);
+                tokio::time::sleep(OfferDesk::GRANT_TIME).await;
+                self.book().expire(self.clock.now());
+            }
+            Err((reason, load)) => {
+                self.book().refuse(now, &key);
+                tell(OfferReply::Refused(reason, load));
             }
-            _ if self.clock.now() >= deadline => return server.refused(NotRun::Expired),
-            _ => {}
         }
-        // The server may have begun to fail while the request waited.
-        match server.pass_gate(attempt) {
-            Ok(pass) => {
-                let held = HeldSlot { ticket, pass };
-                server.dispatch(attempt, request, deadline, held).await
+    }
+
+    /// Waits for a slot; calls `waiting` once if that takes time.
+    async fn hold_slot(
+        &self,
+        server: &Arc<EgressServer>,
+        job: &OfferJob,
+        waiting: impl FnOnce(),
+    ) -> Result<HeldSlot, NotRun> {
+        let deadline = self.clock.now() + job.remaining();
+        if server.is_shut(job) {
+            return Err(NotRun::Failing);
+        }
+        let acquired = server.acquire(job, deadline);
+        tokio::pin!(acquired);
+        let ticket = tokio::select! {
+            biased;
+            ticket = &mut acquired => ticket,
+            () = std::future::ready(()) => {
+                waiting();
+                acquired.await
             }
-            Err(reason) => server.refused(reason),
+        };
+        let ticket = ticket.map_err(not_run_of)?;
+        // The key may have been withdrawn, or the server may have begun to
+        // fail, while the request waited.
+        match job.key {
+            Some(digest) if !self.view.table().has_key(&digest) => return Err(NotRun::Withdrawn),
+            _ => {}
         }
+        let pass = server.pass_gate(job)?;
+        Ok(HeldSlot { ticket, pass })
+    }
+
+    /// Runs a request whose offer holds a slot, or says why it did not.
+    pub async fn commit(&self, attempt: &Attempt, request: Request<ProxyBody>) -> EgressAnswer {
+        let now = self.clock.now();
+        let deadline = now + attempt.remaining();
+        let key = offer_key(&attempt.from, attempt.offer);
+        let committed = self.book().commit(now, &key);
+        let Some(server) = self.server(&attempt.server) else {
+            return misdirected();
+        };
+        match committed {
+            Ok(held) => server.dispatch(attempt, request, deadline, held).await,
+            // The same request came twice; the other one runs.
+            Err(OfferAnswer::Committed) => server.ended(EgressOutcome::Lost),
+            Err(_) => server.refused(NotRun::Lapsed),
+        }
+    }
+
+    /// The offers; no holder panics.
+    fn book(&self) -> MutexGuard<'_, OfferDesk> {
+        self.book
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
     }
 
     /// Refuses new work from now on, or takes it again.
@@ -239,11 +377,8 @@
     EgressAnswer {
         report: EgressReport {
             outcome: EgressOutcome::NotRun(NotRun::Misdirected),
-            running: 0,
-            delay_us: 0,
             service_us: 0,
-            counts: Counts::default(),
-            closed: false,
+            load: ServerLoad::default(),
         },
         response: None,
     }
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -11,6 +11,7 @@
 use admit::{Event, Job, JobId, Refusal};
 use config::Backend;
 use health::{Outcome, STUCK_FACTOR, ServerGate, Verdict};
+use hop::{OfferJob, ServerLoad};
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Body};
 use ids::{MonoTime, ServerId, Slots};
@@ -58,16 +59,16 @@
     }
 
     /// Whether a request need not even wait.
-    pub(super) fn is_shut(&self, attempt: &Attempt) -> bool {
-        !attempt.forced && !attempt.repeatable && self.gate().is_closed(self.clock.now())
+    pub(super) fn is_shut(&self, job: &OfferJob) -> bool {
+        !job.forced && !job.repeatable && self.gate().is_closed(self.clock.now())
     }
 
     /// Asks the gate for a request that holds a slot.
-    pub(super) fn pass_gate(self: &Arc<Self>, attempt: &Attempt) -> Result<GatePass, NotRun> {
+    pub(super) fn pass_gate(self: &Arc<Self>, job: &OfferJob) -> Result<GatePass, NotRun> {
         let now = self.clock.now();
-        let verdict = match attempt.forced {
+        let verdict = match job.forced {
             true => Verdict::Open,
-            false => self.gate().ask(now, attempt.repeatable),
+            false => self.gate().ask(now, job.repeatable),
         };
         match verdict {
             Verdict::Closed => Err(NotRun::Failing),
@@ -109,10 +110,10 @@
     /// Waits for a slot.
     pub(super) async fn acquire(
         self: &Arc<Self>,
-        attempt: &Attempt,
+        job: &OfferJob,
         deadline: MonoTime,
     ) -> Result<SlotTicket, Refusal> {
-        let (ticket, mut verdict) = self.enqueue(attempt, deadline);
+        let (ticket, mut verdict) = self.enqueue(job, deadline);
         loop {
             let tick = self.lock().queue.next_tick().unwrap_or(deadline);
             tokio::select! {
@@ -133,7 +134,7 @@
     /// Puts a job into the queue.
     fn enqueue(
         self: &Arc<Self>,
-        attempt: &Attempt,
+        offered: &OfferJob,
         deadline: MonoTime,
     ) -> (SlotTicket, oneshot::Receiver<Result<(), Refusal>>) {
         let (sender, verdict) = oneshot::channel();
@@ -143,11 +144,11 @@
         desk.waiters.insert(id, sender);
         let job = Job {
             id,
-            rank: attempt.rank,
-            account: attempt.account.clone(),
-            internal: attempt.internal,
-            bulk: attempt.bulk,
-            weight: attempt.weight,
+            rank: offered.rank,
+            account: offered.account.clone(),
+            internal: offered.internal,
+            bulk: offered.bulk,
+            weight: offered.weight,
             deadline,
         };
         desk.handle(self.clock.now(), Event::Arrive(job));
@@ -348,24 +349,31 @@
     }
 
     /// An answer without a response.
-    fn ended(&self, outcome: EgressOutcome) -> EgressAnswer {
+    pub(super) fn ended(&self, outcome: EgressOutcome) -> EgressAnswer {
         EgressAnswer {
             report: self.report(outcome),
             response: None,
         }
     }
 
-    /// Load and evidence now.
+    /// Outcome with load and evidence now.
     fn report(&self, outcome: EgressOutcome) -> EgressReport {
+        EgressReport {
+            outcome,
+            service_us: 0,
+            load: self.load(),
+        }
+    }
+
+    /// Load and evidence now.
+    pub(super) fn load(&self) -> ServerLoad {
         let now = self.clock.now();
         let load = self.lock().queue.report(now);
         let loaded = now.as_nanos() < self.loaded_until.load(Ordering::Relaxed);
         let extra = if loaded { LOADED_DELAY } else { Duration::ZERO };
-        EgressReport {
-            outcome,
+        ServerLoad {
             running: load.running,
             delay_us: (load.delay + extra).as_micros() as u64,
-            service_us: 0,
             counts: self.evidence.counts(),
             closed: self.gate().is_closed(now),
         }
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -18,6 +18,7 @@
     edge::{CallerHead, EdgeCodec},
     egress::EgressHub,
     gate::RateGate,
+    hop::HopPort,
     metrics::MetricSet,
     pool::{PoolState, PoolTable},
     run::{RequestRun, RunOptions},
@@ -45,6 +46,8 @@
     pub codec: Arc<dyn EdgeCodec>,
     /// The service on this VM, which backend servers are told as the caller's.
     pub local_service: Option<ServiceId>,
+    /// Offers to egresses.
+    pub port: Arc<HopPort>,
     /// Seals attempts for peers.
     pub seal: HeaderSeal,
     /// The clock.
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admin;
 mod answer;
+mod attempt;
 mod body;
 mod clock;
 mod control;
@@ -17,6 +18,7 @@
 mod egress;
 mod evidence;
 mod gate;
+mod hop;
 mod ingress;
 mod link;
 mod listener;
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -45,7 +45,7 @@
             Some(attempt) if attempt.target == target => attempt,
             _ => return status_response(StatusCode::FORBIDDEN),
         };
-        let answer = self.egress.run(&attempt, request.map(box_body)).await;
+        let answer = self.egress.commit(&attempt, request.map(box_body)).await;
         let mut response = match answer.response {
             Some(response) => response,
             None => status_response(status_of(answer.report.outcome)),
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -10,10 +10,11 @@
 
 use arc_swap::ArcSwap;
 use config::{Backend, PoolMembers, Service};
+use hop::ServerLoad;
 use ids::{FastMap, ServerId, ServiceId, VmId};
 use route::{Candidate, Distance, LatencyQuantile, RetryBudget, choose_server};
 
-use crate::{link::LinkPool, task::TaskGroup, view::FleetView, wire::EgressReport};
+use crate::{link::LinkPool, task::TaskGroup, view::FleetView};
 
 /// Weight of a backend server in full rotation, in thousandths.
 const FULL_WEIGHT: u32 = 1_000;
@@ -86,23 +87,30 @@
         FlightGuard(Arc::clone(self))
     }
 
-    /// Takes the load that an egress reports.
-    pub fn note_report(&self, report: &EgressReport) {
-        self.running.store(report.running, Ordering::Relaxed);
-        self.delay_us.store(report.delay_us, Ordering::Relaxed);
+    /// Takes the load that an egress reports, and the service time of an
+    /// answer; zero if there was none.
+    pub fn note_load(&self, load: &ServerLoad, service_us: u64) {
+        self.running.store(load.running, Ordering::Relaxed);
+        self.delay_us.store(load.delay_us, Ordering::Relaxed);
         self.reported_ms.store(self.age_ms(), Ordering::Relaxed);
-        self.note_gate(report.closed);
-        if report.service_us > 0 {
+        self.note_gate(load.closed);
+        if service_us > 0 {
             let old = self.service_us.load(Ordering::Relaxed);
-            let step = (report.service_us >> SERVICE_TIME_SHIFT).max(1);
+            let step = (service_us >> SERVICE_TIME_SHIFT).max(1);
             let new = match old {
-                0 => report.service_us,
+                0 => service_us,
                 old => old - (old >> SERVICE_TIME_SHIFT) + step,
             };
             self.service_us.store(new, Ordering::Relaxed);
         }
     }
 
+    /// The daemon beside it does not answer: it counts as failing until it is
+    /// tried again.
+    pub fn note_silent(&self) {
+        self.note_gate(true);
+    }
+
     /// Sets the share of traffic that it may take, 0 to 1.
     pub fn set_weight(&self, weight: f64) {
         let weight = (weight.clamp(0.0, 1.0) * f64::from(FULL_WEIGHT)) as u32;
@@ -146,15 +154,6 @@
         self.links.as_ref().is_some_and(|links| links.is_resting())
     }
 
-    /// Whether it had a free slot when last heard of.
-    pub fn has_room(&self) -> bool {
-        let load = self
-            .running
-            .load(Ordering::Relaxed)
-            .max(self.in_flight.load(Ordering::Relaxed));
-        load < self.backend.slots.get() && self.weight.load(Ordering::Relaxed) > 0
-    }
-
     /// Milliseconds since this state was made.
     fn age_ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
@@ -254,15 +253,6 @@
             forced: true,
         })
     }
-
-    /// Whether a backend server other than those tried has a free slot.
-    pub fn has_room(&self, tried: &[ServerId]) -> bool {
-        let other = |state: &&Arc<ServerState>| !tried.contains(&state.backend.id);
-        self.servers
-            .iter()
-            .filter(other)
-            .any(|state| state.has_room())
-    }
 }
 
 /// A backend server for an attempt.
--- a/crates/serve/src/resume.rs
+++ b/crates/serve/src/resume.rs
@@ -13,10 +13,10 @@
     HeaderMap, Method, Response, StatusCode,
     body::Frame,
     header::{CONTENT_RANGE, ETAG, HeaderValue, IF_RANGE, RANGE},
-    http::request::Parts,
 };
 
 use crate::{
+    attempt::RequestSource,
     body::{BodyError, ProxyBody, full_body},
     ingress::Ingress,
     pool::PoolState,
@@ -30,8 +30,7 @@
 struct Download {
     ingress: Arc<Ingress>,
     pool: Arc<PoolState>,
-    head: Parts,
-    options: RunOptions,
+    source: Arc<RequestSource>,
     etag: HeaderValue,
     received: u64,
     body: ProxyBody,
@@ -42,13 +41,12 @@
 pub fn resumable(
     ingress: &Arc<Ingress>,
     pool: &Arc<PoolState>,
-    head: &Parts,
-    options: &RunOptions,
+    source: &Arc<RequestSource>,
     response: Response<ProxyBody>,
 ) -> Response<ProxyBody> {
     let etag = strong_etag(response.headers());
-    let whole = response.status() == StatusCode::OK && !head.headers.contains_key(RANGE);
-    let safe = options.idempotent && head.method == Method::GET && whole;
+    let whole = response.status() == StatusCode::OK && !source.head.headers.contains_key(RANGE);
+    let safe = source.options.idempotent && source.head.method == Method::GET && whole;
     let Some(etag) = etag.filter(|_| safe) else {
         return response;
     };
@@ -56,8 +54,7 @@
         let download = Download {
             ingress: Arc::clone(ingress),
             pool: Arc::clone(pool),
-            head: head.clone(),
-            options: options.clone(),
+            source: Arc::clone(source),
             etag,
             received: 0,
             body,
@@ -102,7 +99,7 @@
 
     /// The rest of the download, if a backend server has just that.
     async fn continue_elsewhere(&mut self) -> Option<ProxyBody> {
-        let mut head = self.head.clone();
+        let mut head = self.source.head.clone();
         let range = format!("bytes={}-", self.received);
         head.headers.insert(RANGE, range.parse().ok()?);
         head.headers.insert(IF_RANGE, self.etag.clone());
@@ -110,7 +107,7 @@
         let options = RunOptions {
             deadline: now + self.pool.service.deadline(),
             started: now,
-            ..self.options.clone()
+            ..self.source.options.clone()
         };
         let empty = full_body(Bytes::new());
         let pool = Arc::clone(&self.pool);
--- a/crates/serve/src/wire.rs
+++ b/crates/serve/src/wire.rs
@@ -5,10 +5,11 @@
 
 use std::{fmt, time::Duration};
 
-use config::KeyDigest;
-use health::Counts;
+pub use hop::NotRun;
+
+use hop::{OfferId, ServerLoad};
 use hyper::{HeaderMap, header::HeaderName, header::HeaderValue};
-use ids::{AccountId, Rank, ServerId, ServiceId, VmId, Weight};
+use ids::{AccountId, ServerId, ServiceId, VmId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use subtle::ConstantTimeEq;
 
@@ -38,34 +39,23 @@
 /// Longest header that is looked at, in bytes.
 const MAX_HEADER_BYTES: usize = 2_048;
 
-/// Metadata of an attempt.
+/// Metadata of an attempt whose offer was granted.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Attempt {
     /// Random number of the request, the same for all its attempts.
     pub request: u64,
     /// VM of the ingress.
     pub from: VmId,
+    /// The offer that was granted there.
+    pub offer: OfferId,
     /// The backend server that is to run it.
     pub server: ServerId,
     /// The client account; `None` on an open route.
     pub account: Option<AccountId>,
-    /// Digest of the caller's key, checked again at dispatch.
-    pub key: Option<KeyDigest>,
-    /// Share of the account where accounts compete.
-    pub weight: Weight,
     /// Service on the VM of the ingress, if it has one.
     pub caller: Option<ServiceId>,
-    /// Rank among requests that wait for a slot.
-    pub rank: Rank,
-    /// Internal work.
-    pub internal: bool,
-    /// Long transfer.
-    pub bulk: bool,
     /// Whether it may run more than once.
     pub repeatable: bool,
-    /// Whether it goes to a backend server that is taken for failing, since
-    /// there is no better one.
-    pub forced: bool,
     /// Time left, in microseconds.
     pub remaining_us: u64,
     /// Time after which an unanswered request counts as slow, in
@@ -82,42 +72,6 @@
     }
 }
 
-/// Why an egress did not run an attempt.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
-pub enum NotRun {
-    /// No slot in time.
-    Overloaded,
-    /// The deadline passed before dispatch.
-    Expired,
-    /// The backend server or its VM is leaving.
-    Leaving,
-    /// The backend server sheds load.
-    Shedding,
-    /// No connection to the backend server.
-    Unreachable,
-    /// The key was withdrawn while the request waited.
-    Withdrawn,
-    /// The backend server is not on this VM.
-    Misdirected,
-    /// The backend server is taken for failing.
-    Failing,
-}
-
-impl fmt::Display for NotRun {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Overloaded => "overloaded",
-            Self::Expired => "expired",
-            Self::Leaving => "leaving",
-            Self::Shedding => "shedding",
-            Self::Unreachable => "unreachable",
-            Self::Withdrawn => "withdrawn",
-            Self::Misdirected => "misdirected",
-            Self::Failing => "failing",
-        })
-    }
-}
-
 /// What became of an attempt at the egress.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum EgressOutcome {
@@ -131,21 +85,15 @@
     TimedOut,
 }
 
-/// Load and evidence that an egress reports with each answer.
+/// What an egress reports with each answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct EgressReport {
     /// What became of the attempt.
     pub outcome: EgressOutcome,
-    /// Jobs that run at the backend server.
-    pub running: u32,
-    /// Expected wait for a slot, in microseconds.
-    pub delay_us: u64,
     /// Time from dispatch to the head of the answer, in microseconds.
     pub service_us: u64,
-    /// Evidence about the backend server.
-    pub counts: Counts,
-    /// Whether the egress keeps ordinary requests away from it.
-    pub closed: bool,
+    /// Load and evidence of the backend server.
+    pub load: ServerLoad,
 }
 
 /// Seals and opens header values with the fleet secret.
--- a/tests/hop_faults.rs
+++ b/tests/hop_faults.rs
@@ -89,8 +89,11 @@
     answers: &[(StatusCode::GATEWAY_TIMEOUT, "unknown")],
     runs: 1,
 };
-/// The ingress can't know that what it sent never arrived.
-const LATE_UNSEEN: Expected = Expected { runs: 0, ..LATE };
+/// The egress gave the slot on, and says that what comes late won't run.
+const LAPSED: Expected = Expected {
+    answers: &[(StatusCode::SERVICE_UNAVAILABLE, "not-run")],
+    runs: 0,
+};
 
 /// Begins a fault.
 fn begin(relay: &DropRelay, fault: Fault) {
@@ -128,7 +131,7 @@
 #[test_case(Begin::AfterDispatch, Fault::Cut, LOST; "cut after dispatch")]
 #[test_case(Begin::BeforeDispatch, Fault::Held, ANSWERED; "held and resumed before dispatch")]
 #[test_case(Begin::AfterDispatch, Fault::Held, ANSWERED; "held and resumed after dispatch")]
-#[test_case(Begin::BeforeDispatch, Fault::HeldTooLong, LATE_UNSEEN; "arrives late")]
+#[test_case(Begin::BeforeDispatch, Fault::HeldTooLong, LAPSED; "arrives late")]
 #[test_case(Begin::AfterDispatch, Fault::HeldTooLong, LATE; "answered late")]
 #[tokio::test(flavor = "multi_thread")]
 async fn booking_runs_at_most_once(when: Begin, fault: Fault, expected: Expected) {
