--- a/crates/health/src/gate.rs
+++ b/crates/health/src/gate.rs
@@ -23,6 +23,9 @@
 /// Time between trials, first and longest; it doubles with each failed one.
 const TRIAL_GAP: Duration = Duration::from_millis(150);
 const MAX_TRIAL_GAP: Duration = Duration::from_millis(900);
+/// Time after which a server that was never tried again is taken for healthy:
+/// longer than the episodes of failing that are usual.
+const UNTRIED_FOR: Duration = Duration::from_secs(8);
 /// Time without any trial after which a request that must not run twice is
 /// let through as one: a service may have no other requests.
 const LONELY_AFTER: Duration = Duration::from_millis(2_500);
@@ -79,6 +82,8 @@
     noted: MonoTime,
     /// When the trial under way began.
     trial: Option<MonoTime>,
+    /// Whether no good answer came since the gate closed.
+    unproved: bool,
     /// End of the latest trial, or when the gate closed.
     tried: MonoTime,
     gap: Duration,
@@ -90,6 +95,7 @@
             odds: PRIOR,
             noted: MonoTime::ZERO,
             trial: None,
+            unproved: false,
             tried: MonoTime::ZERO,
             gap: TRIAL_GAP,
         }
@@ -105,7 +111,8 @@
 
     /// Whether ordinary requests are kept away.
     pub fn is_closed(&self, now: MonoTime) -> bool {
-        self.odds(now) >= CLOSED_FROM
+        let unproved = self.unproved && now.since(self.noted) < UNTRIED_FOR;
+        unproved || self.odds(now) >= CLOSED_FROM
     }
 
     /// Takes an outcome.
@@ -113,8 +120,12 @@
         let before = self.is_closed(now);
         self.odds = (self.odds(now) + outcome.nats()).clamp(LEAST, MOST);
         self.noted = now;
+        if outcome == Outcome::Good {
+            self.unproved = false;
+        }
         match self.is_closed(now) {
             true if !before => {
+                self.unproved = true;
                 self.tried = now;
                 self.gap = TRIAL_GAP;
             }
--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -14,11 +14,13 @@
 const EXCHANGE_EVERY: Duration = Duration::from_secs(1);
 /// Age up to which knowledge counts as fresh.
 const FRESH_FOR: Duration = Duration::from_secs(5);
-/// Age from which a daemon that is no reader reads the platform itself.
-const FALLBACK_AFTER: Duration = Duration::from_secs(8);
-/// Mean time between such reads of one daemon: 4,100 of them make 70 calls a
-/// second.
-const FALLBACK_EVERY: Duration = Duration::from_secs(60);
+/// Age from which a daemon that is no reader reads the platform itself: twice
+/// the longest wait of a reader's watch.
+const FALLBACK_AFTER: Duration = Duration::from_secs(4);
+/// Such reads of all daemons together, a second, and the shortest mean time
+/// between those of one.
+const FALLBACK_PER_S: f64 = 70.0;
+const FALLBACK_MIN: Duration = Duration::from_secs(1);
 /// Largest delta in a datagram, in bytes.
 const MAX_PUSHED_DELTA: usize = 1_000;
 /// Time for a pull from a peer, after which another is asked.
@@ -112,7 +114,6 @@
     pub fn new(vm: VmId, zone: ZoneId, now: MonoTime, seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let first = EXCHANGE_EVERY.mul_f64(rng.random());
-        let fallback = FALLBACK_EVERY.mul_f64(rng.random::<f64>() / 4.0);
         Self {
             vm,
             zone,
@@ -125,7 +126,7 @@
             read_at: None,
             started: now,
             next_exchange: now + first,
-            next_fallback: now + FALLBACK_AFTER + fallback,
+            next_fallback: now + FALLBACK_AFTER,
             pulled_at: None,
         }
     }
@@ -284,14 +285,20 @@
             let stale = self.age(now) >= FALLBACK_AFTER;
             match stale && !self.reader {
                 true => {
-                    self.next_fallback = now + FALLBACK_EVERY.mul_f64(jitter);
+                    self.next_fallback = now + self.fallback_every().mul_f64(jitter);
                     actions.push(SpreadAction::ReadPlatform);
                 }
-                false => self.next_fallback = now + Duration::from_secs(1).mul_f64(jitter),
+                false => self.next_fallback = now + FALLBACK_MIN.mul_f64(jitter),
             }
         }
     }
 
+    /// Mean time between reads of the platform when nobody is heard who read.
+    fn fallback_every(&self) -> Duration {
+        let daemons = self.peers.len() as f64 + 1.0;
+        Duration::from_secs_f64(daemons / FALLBACK_PER_S).max(FALLBACK_MIN)
+    }
+
     /// Any peer.
     fn random_peer(&mut self) -> Option<VmId> {
         match self.peers.len() {
--- a/crates/serve/src/control/follow.rs
+++ b/crates/serve/src/control/follow.rs
@@ -20,7 +20,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Shortest and longest pause after a failed read.
 const RETRY_MIN: Duration = Duration::from_millis(100);
-const RETRY_MAX: Duration = Duration::from_secs(5);
+const RETRY_MAX: Duration = Duration::from_secs(1);
 /// Time between looks at whether this daemon has become a reader.
 const READER_CHECK: Duration = Duration::from_secs(1);
 
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -325,8 +325,8 @@
         let grace = settings.budgets.grace();
         let end = Instant::now() + grace.saturating_sub(END_RESERVE);
         self.view.set_leaving(true);
-        self.egress.set_draining(true);
         tokio::time::sleep(settings.policy.linger()).await;
+        self.egress.set_draining(true);
         self.stops[0].stop();
         let finished = timeout_at(end, async {
             self.parts[0].join().await;
