Spread configurations faster, and ask the platform where pulls fail

Change: pulls from several peers beside each other, exchanges each 500 ms, six pushes; one that is behind for 600 ms reads the platform itself. Ruled out: the store's watch; readers had each version within 0.1 s.

--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -9,9 +9,9 @@
 use crate::message::{DeltaText, KnownRevisions, PeerMessage};
 
 /// Peers that a new revision is pushed to.
-const FANOUT: usize = 4;
+const FANOUT: usize = 6;
 /// Time between exchanges with a random peer.
-const EXCHANGE_EVERY: Duration = Duration::from_secs(1);
+const EXCHANGE_EVERY: Duration = Duration::from_millis(500);
 /// Age up to which knowledge counts as fresh.
 const FRESH_FOR: Duration = Duration::from_secs(5);
 /// Age from which a daemon that is no reader reads the platform itself: twice
@@ -23,8 +23,11 @@
 const FALLBACK_MIN: Duration = Duration::from_secs(1);
 /// Largest delta in a datagram, in bytes.
 const MAX_PUSHED_DELTA: usize = 1_000;
-/// Time for a pull from a peer, after which another is asked.
-const PULL_EVERY: Duration = Duration::from_millis(500);
+/// Time for a pull from a peer, after which another is asked beside it.
+const PULL_EVERY: Duration = Duration::from_millis(100);
+/// Time for which pulls may fail to bring a revision that is known to be there
+/// before the platform is asked for it.
+const BEHIND_FOR: Duration = Duration::from_millis(600);
 
 /// A live VM as dissemination sees it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -104,6 +107,10 @@
     next_exchange: MonoTime,
     next_fallback: MonoTime,
     pulled_at: Option<MonoTime>,
+    /// Since when peers are known to have something newer.
+    behind_since: Option<MonoTime>,
+    /// When the platform was last asked beside the watches.
+    read_asked: Option<MonoTime>,
 }
 
 impl SpreadNode {
@@ -128,6 +135,8 @@
             next_exchange: now + first,
             next_fallback: now + FALLBACK_AFTER,
             pulled_at: None,
+            behind_since: None,
+            read_asked: None,
         }
     }
 
@@ -216,6 +225,7 @@
         if !newer {
             return;
         }
+        self.behind_since = None;
         let text = delta.map(|delta| Box::new(DeltaText::new(delta)));
         let message = PeerMessage::Push {
             known: self.known(now),
@@ -242,6 +252,7 @@
             self.note_age(now, known);
         }
         if behind {
+            self.behind_since.get_or_insert(now);
             self.pull(now, from.clone(), actions);
         }
         if answer {
@@ -280,11 +291,15 @@
             let message = PeerMessage::Known(self.known(now));
             actions.extend(self.random_peer().map(|to| SpreadAction::Send(to, message)));
         }
-        if self.next_fallback <= now {
+        let behind = self
+            .behind_since
+            .is_some_and(|since| now.since(since) >= BEHIND_FOR);
+        if self.next_fallback <= now || (behind && self.may_read_again(now)) {
             let jitter = 0.5 + self.rng.random::<f64>();
             let stale = self.age(now) >= FALLBACK_AFTER;
-            match stale && !self.reader {
+            match behind || (stale && !self.reader) {
                 true => {
+                    self.read_asked = Some(now);
                     self.next_fallback = now + self.fallback_every().mul_f64(jitter);
                     actions.push(SpreadAction::ReadPlatform);
                 }
@@ -293,6 +308,12 @@
         }
     }
 
+    /// Whether the platform was not asked just now.
+    fn may_read_again(&self, now: MonoTime) -> bool {
+        self.read_asked
+            .is_none_or(|asked| now.since(asked) >= self.fallback_every())
+    }
+
     /// Mean time between reads of the platform when nobody is heard who read.
     fn fallback_every(&self) -> Duration {
         let daemons = self.peers.len() as f64 + 1.0;
--- a/crates/mesh/tests/spread_fuzz.rs
+++ b/crates/mesh/tests/spread_fuzz.rs
@@ -270,3 +270,37 @@
         prop_assert!(net.known.iter().all(|known| *known == published), "{:?}", net.known);
     }
 }
+
+#[test]
+fn failing_pulls_are_given_up() {
+    // Peers know more, but no pull from them succeeds: the platform is asked.
+    let mut node = SpreadNode::new(vm(1), "zone-1".parse().unwrap(), MonoTime::ZERO, 1);
+    let peer = |daemon: usize| SpreadPeer {
+        vm: vm(daemon),
+        zone: "zone-1".parse().unwrap(),
+    };
+    let peers = (0..DAEMONS).map(peer).collect();
+    node.handle(MonoTime::ZERO, SpreadEvent::Peers(peers));
+    let newer = KnownRevisions {
+        config: Revision(7),
+        vms: Revision(0),
+        age_ms: 10,
+    };
+    let mut asked = None;
+    for millis in (20..1_500).step_by(20) {
+        let now = MonoTime::from_millis(millis);
+        let event = match millis % 100 {
+            0 => SpreadEvent::Message {
+                from: vm(millis as usize / 100 % DAEMONS),
+                known: newer,
+                answer: false,
+            },
+            _ => SpreadEvent::Tick,
+        };
+        let actions = node.handle(now, event);
+        if asked.is_none() && actions.contains(&SpreadAction::ReadPlatform) {
+            asked = Some(millis);
+        }
+    }
+    assert!(asked.is_some_and(|millis| millis < 1_000), "{asked:?}");
+}
