--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -21,6 +21,10 @@
 /// between those of one.
 const FALLBACK_PER_S: f64 = 70.0;
 const FALLBACK_MIN: Duration = Duration::from_secs(1);
+/// Factor by which that time grows with each read that brought nothing, and
+/// its bound: the readers go on trying in any case.
+const FALLBACK_GROWTH: u32 = 4;
+const FALLBACK_MAX: Duration = Duration::from_secs(60);
 /// Largest delta in a datagram, in bytes.
 const MAX_PUSHED_DELTA: usize = 1_000;
 /// Time for a pull from a peer, after which another is asked beside it.
@@ -111,6 +115,8 @@
     behind_since: Option<MonoTime>,
     /// When the platform was last asked beside the watches.
     read_asked: Option<MonoTime>,
+    /// Such reads since the platform was last heard, here or by peers.
+    vain_reads: u32,
 }
 
 impl SpreadNode {
@@ -137,6 +143,7 @@
             pulled_at: None,
             behind_since: None,
             read_asked: None,
+            vain_reads: 0,
         }
     }
 
@@ -153,7 +160,10 @@
             SpreadEvent::Adopted { config, vms, delta } => {
                 self.adopt(now, config, vms, delta.as_ref(), &mut actions);
             }
-            SpreadEvent::PlatformRead => self.read_at = Some(now),
+            SpreadEvent::PlatformRead => {
+                self.read_at = Some(now);
+                self.vain_reads = 0;
+            }
             SpreadEvent::Message {
                 from,
                 known,
@@ -270,6 +280,7 @@
         let read_at = now - Duration::from_millis(known.age_ms);
         if same && known.age_ms < u64::MAX && Some(read_at) > self.read_at {
             self.read_at = Some(read_at);
+            self.vain_reads = 0;
         }
     }
 
@@ -300,6 +311,7 @@
             match behind || (stale && !self.reader) {
                 true => {
                     self.read_asked = Some(now);
+                    self.vain_reads += 1;
                     self.next_fallback = now + self.fallback_every().mul_f64(jitter);
                     actions.push(SpreadAction::ReadPlatform);
                 }
@@ -317,7 +329,9 @@
     /// Mean time between reads of the platform when nobody is heard who read.
     fn fallback_every(&self) -> Duration {
         let daemons = self.peers.len() as f64 + 1.0;
-        Duration::from_secs_f64(daemons / FALLBACK_PER_S).max(FALLBACK_MIN)
+        let least = Duration::from_secs_f64(daemons / FALLBACK_PER_S).max(FALLBACK_MIN);
+        let grown = least.saturating_mul(FALLBACK_GROWTH.saturating_pow(self.vain_reads));
+        grown.min(FALLBACK_MAX.max(least))
     }
 
     /// Any peer.
