--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -280,7 +280,9 @@
         let read_at = now - Duration::from_millis(known.age_ms);
         if same && known.age_ms < u64::MAX && Some(read_at) > self.read_at {
             self.read_at = Some(read_at);
-            self.vain_reads = 0;
+            if known.age_ms < FRESH_FOR.as_millis() as u64 {
+                self.vain_reads = 0;
+            }
         }
     }
 
