Refuse what waits for a slot before a stopping daemon ends; near servers first

Two daemons that did not answer held a search up for 0.7 s each. Change: a search ends with a refusal 0.5 s before the end; a silent daemon counts as such after 40 ms, another server takes its place, and it is left out for 0.15 to 3 s. The first of the two candidates is drawn in the own zone. The queue prefers what can still make its target and refuses what can't end in time; calls of running requests go first. The test of the silent daemon asks more: given up within a second, all offers withdrawn.

--- a/crates/admit/examples/classes.rs
+++ b/crates/admit/examples/classes.rs
@@ -121,6 +121,7 @@
             internal: beside.is_some_and(|beside| beside.internal),
             bulk: beside.is_some_and(|beside| beside.bulk),
             weight: Weight(1),
+            target: self.now + DEADLINE,
             deadline: self.now + DEADLINE,
         };
         let place = self.choose();
--- a/crates/admit/src/job.rs
+++ b/crates/admit/src/job.rs
@@ -29,6 +29,8 @@
     pub bulk: bool,
     /// Share of the account where accounts compete.
     pub weight: Weight,
+    /// Until when an answer is worth most to the caller.
+    pub target: MonoTime,
     /// When the caller gives up.
     pub deadline: MonoTime,
 }
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -13,6 +13,13 @@
 /// Time after which jobs held back by a reserve are looked at again.
 const HELD_RETRY: Duration = Duration::from_millis(500);
 
+/// Share of the jobs ahead that will still be there when their turn comes:
+/// most have an offer at a second server as well.
+const STAYING_SHARE: f64 = 0.6;
+/// Share of the mean slot time that a job needs at least; one that has less
+/// time left would run in vain.
+const SHORT_JOB: f64 = 0.4;
+
 /// Limits of a queue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QueueLimits {
@@ -116,7 +123,8 @@
 
     /// When [`Event::Tick`] is due, if nothing happens before.
     pub fn next_tick(&self) -> Option<MonoTime> {
-        let deadline = self.waiting.iter().map(|job| job.deadline).min()?;
+        let needed = self.least_time();
+        let deadline = self.waiting.iter().map(|job| job.deadline - needed).min()?;
         match self.resume_at {
             resume if resume > self.now => Some(deadline.min(resume)),
             // Jobs that wait beside a free slot are held back by a reserve,
@@ -186,15 +194,40 @@
         // Jobs of the same account go first in any case, so this wait is sure
         // as far as the slot time is known.
         let wait = self.flows.mean_time().mul_f64(own / slots);
+        let needed = self.least_time();
+        let ahead_of_all = self.wait_of(job).mul_f64(STAYING_SHARE) + needed;
         match job.deadline {
             _ if self.draining => Some(Refusal::Leaving),
             deadline if deadline <= now => Some(Refusal::Expired),
             deadline if deadline <= self.resume_at => Some(Refusal::Shedding),
             deadline if own > 0.0 && deadline <= now + wait => Some(Refusal::Overloaded),
+            deadline if self.is_full() && deadline <= now + ahead_of_all => {
+                Some(Refusal::Overloaded)
+            }
             _ => None,
         }
     }
 
+    /// Time until a job that came now would have a slot, if all that goes
+    /// before it stays.
+    fn wait_of(&self, job: &Job) -> Duration {
+        let class = (job.internal, job.rank);
+        let before = |other: &&Job| (other.internal, other.rank) <= class;
+        let turns = self.waiting.iter().filter(before).count() + usize::from(self.is_full());
+        let slots = f64::from(self.limits.slots.get().max(1));
+        self.flows.mean_time().mul_f64(turns as f64 / slots)
+    }
+
+    /// Time that a job needs at least, by those before it.
+    fn least_time(&self) -> Duration {
+        self.flows.mean_time().mul_f64(SHORT_JOB)
+    }
+
+    /// Whether a job that starts now would miss its target.
+    fn is_late(&self, now: MonoTime, job: &Job) -> bool {
+        now + self.least_time() > job.target
+    }
+
     /// Place of the job to give up when the queue is too long: the latest of
     /// the account with most waiting for its weight, internal work first.
     fn longest_tail(&self) -> usize {
@@ -229,14 +262,17 @@
         actions.extend(self.waiting.drain(..).map(refuse));
     }
 
-    /// Refuses waiting jobs whose deadline has passed.
+    /// Refuses waiting jobs that can't end before their deadline any more.
     fn expire(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        let needed = self.least_time();
         self.waiting.retain(|job| {
-            let alive = job.deadline > now;
-            if !alive {
-                actions.push(Action::Refuse(job.id, Refusal::Expired));
-            }
-            alive
+            let refusal = match job.deadline {
+                deadline if deadline <= now => Refusal::Expired,
+                deadline if deadline <= now + needed => Refusal::Overloaded,
+                _ => return true,
+            };
+            actions.push(Action::Refuse(job.id, refusal));
+            false
         });
     }
 
@@ -266,19 +302,21 @@
         let internal_room = self.internal_room(now);
         let bulk_room = self.bulk_room(now);
         let charges: Vec<&FlowCharge> = self.running.values().map(|item| &item.charge).collect();
-        let mut best: Option<((bool, Rank), f64, usize)> = None;
+        let mut best: Option<((bool, Rank, bool), f64, usize)> = None;
         for (place, job) in self.waiting.iter().enumerate() {
             let held = (job.internal && internal_room == 0) || (job.bulk && bulk_room == 0);
             if held {
                 continue;
             }
             let start = self.flows.start_time(&job.account, &charges, now);
+            // What can still make its target goes before what is late.
+            let class = (job.internal, job.rank, self.is_late(now, job));
             let better = match best {
-                Some((class, first, _)) => ((job.internal, job.rank), start) < (class, first),
+                Some((other, first, _)) => (class, start) < (other, first),
                 None => true,
             };
             if better {
-                best = Some(((job.internal, job.rank), start, place));
+                best = Some((class, start, place));
             }
         }
         best.map(|(_, start, place)| (place, start))
--- a/crates/admit/tests/fair_share.rs
+++ b/crates/admit/tests/fair_share.rs
@@ -49,6 +49,7 @@
             internal: false,
             bulk: false,
             weight: Weight(load.weight),
+            target: self.now + Duration::from_secs(3_600),
             deadline: self.now + Duration::from_secs(3_600),
         };
         self.step(Event::Arrive(job));
--- a/crates/admit/tests/queue_fuzz.rs
+++ b/crates/admit/tests/queue_fuzz.rs
@@ -201,6 +201,7 @@
                     internal,
                     bulk,
                     weight: Weight(1 + u32::from(account % 2)),
+                    target: oracle.now + Duration::from_millis(patience_ms),
                     deadline: oracle.now + Duration::from_millis(patience_ms),
                 };
                 observed.jobs.insert(job.id, job.clone());
--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -78,6 +78,8 @@
     /// Whether it goes to a backend server that is taken for failing, since
     /// there is no better one.
     pub forced: bool,
+    /// Time left until an answer is worth less, in microseconds.
+    pub target_us: u64,
     /// Time left, in microseconds.
     pub remaining_us: u64,
 }
--- a/crates/hop/src/search.rs
+++ b/crates/hop/src/search.rs
@@ -73,6 +73,8 @@
     heard: Option<MonoTime>,
     /// Whether another server was asked beside it.
     tied: bool,
+    /// Whether its daemon counts as silent: another one takes its place.
+    silent: bool,
 }
 
 impl OpenOffer {
@@ -147,7 +149,8 @@
     pub fn next_tick(&self) -> MonoTime {
         let may_tie = self.may_offer();
         let times = self.open.iter().flat_map(|offer| {
-            let tie = (may_tie && !offer.tied).then(|| offer.tie_at());
+            let tie = ((may_tie && !offer.tied) || (offer.heard.is_none() && !offer.silent))
+                .then(|| offer.tie_at());
             [Some(offer.repeat_at()), Some(offer.give_up_at()), tie]
         });
         let next = times.flatten().min().unwrap_or(self.options.deadline);
@@ -170,7 +173,10 @@
             return;
         };
         match reply {
-            OfferReply::Waiting(_) => self.open[place].heard = Some(now),
+            OfferReply::Waiting(_) => {
+                self.open[place].heard = Some(now);
+                self.open[place].silent = false;
+            }
             OfferReply::Granted => {
                 self.open.swap_remove(place);
                 self.withdraw_all(actions);
@@ -197,9 +203,15 @@
         self.open.retain(|offer| !silent(offer));
         for offer in given_up {
             self.reason = Some(self.reason.unwrap_or(NotRun::Unreachable));
-            actions.push(SearchAction::NoteSilent(offer.id));
             actions.push(SearchAction::Withdraw(offer.id));
         }
+        let unheard = |offer: &&mut OpenOffer| offer.heard.is_none() && !offer.silent;
+        for offer in self.open.iter_mut().filter(unheard) {
+            if offer.tie_at() <= now {
+                offer.silent = true;
+                actions.push(SearchAction::NoteSilent(offer.id));
+            }
+        }
         for offer in self
             .open
             .iter_mut()
@@ -229,7 +241,8 @@
 
     /// Whether another server may be asked.
     fn may_offer(&self) -> bool {
-        let room = self.open.len() < MOST_WAITING && self.made < self.options.most_offers;
+        let waiting = self.open.iter().filter(|offer| !offer.silent).count();
+        let room = waiting < MOST_WAITING && self.made < self.options.most_offers;
         room && !self.exhausted && !self.done
     }
 
@@ -244,6 +257,7 @@
             sent: now,
             heard: None,
             tied: false,
+            silent: false,
         });
         actions.push(SearchAction::Offer(id));
     }
--- a/crates/hop/tests/slot_search.rs
+++ b/crates/hop/tests/slot_search.rs
@@ -48,7 +48,11 @@
     let actions = search.handle(at(26), SearchEvent::Tick);
     assert_eq!(actions, [SearchAction::Repeat(OfferId(0))]);
     let actions = search.handle(at(41), SearchEvent::Tick);
-    assert_eq!(actions, [SearchAction::Offer(OfferId(1))]);
+    let expected = [
+        SearchAction::NoteSilent(OfferId(0)),
+        SearchAction::Offer(OfferId(1)),
+    ];
+    assert_eq!(actions, expected);
     // The silent one may still be first; the other is withdrawn then.
     let actions = search.handle(at(45), granted(0));
     let expected = [
@@ -61,19 +65,33 @@
 #[test]
 fn silent_daemon_is_given_up() {
     let mut search = search();
-    let mut noted = false;
+    let mut seen = Vec::new();
     let mut now = at(0);
-    while now < at(1_000) {
+    while !seen.contains(&SearchAction::Withdraw(OfferId(0))) {
         now = search.next_tick();
-        let actions = search.handle(now, SearchEvent::Tick);
-        noted |= actions.contains(&SearchAction::NoteSilent(OfferId(0)));
+        assert!(now < at(1_000), "{seen:?}");
+        seen.extend(search.handle(now, SearchEvent::Tick));
     }
-    assert!(noted);
+    assert!(seen.contains(&SearchAction::NoteSilent(OfferId(0))));
     // A grant that comes after all is given back.
     let actions = search.handle(now, granted(0));
     assert_eq!(actions, [SearchAction::Withdraw(OfferId(0))]);
 }
 
+#[test]
+fn all_silent_fails_soon() {
+    let mut search = search();
+    let mut seen = Vec::new();
+    while !seen.contains(&SearchAction::Fail(Some(NotRun::Unreachable))) {
+        let now = search.next_tick();
+        assert!(now < at(1_200), "{seen:?}");
+        seen.extend(search.handle(now, SearchEvent::Tick));
+    }
+    for id in 0..4 {
+        assert!(seen.contains(&SearchAction::Withdraw(OfferId(id))), "{id}");
+    }
+}
+
 #[test]
 fn waiting_offer_is_tied() {
     let mut search = search();
@@ -118,3 +136,22 @@
     let actions = search.handle(at(1), SearchEvent::NoServer(OfferId(0)));
     assert_eq!(actions, [SearchAction::Fail(None)]);
 }
+
+#[test]
+fn two_silent_daemons_hold_nobody_up() {
+    // Pattern: a partition hides two of the servers from this ingress. Their
+    // offers stay open, and a third server is asked beside them.
+    let mut search = search();
+    let mut asked = Vec::new();
+    let mut now = at(0);
+    while now < at(150) {
+        now = search.next_tick();
+        for action in search.handle(now, SearchEvent::Tick) {
+            if let SearchAction::Offer(id) = action {
+                asked.push((id, now));
+            }
+        }
+    }
+    assert!(asked.len() >= 2, "{asked:?}");
+    assert!(asked[1].1 <= at(100), "{asked:?}");
+}
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -46,6 +46,13 @@
     pub weight: f64,
 }
 
+impl Candidate {
+    /// Whether it is in the own availability zone.
+    fn is_near(&self) -> bool {
+        matches!(self.distance, Distance::Local | Distance::Zone)
+    }
+}
+
 /// Time that a request sent to the candidate would wait and travel.
 ///
 /// Own requests in flight count beside the report, which may be older than
@@ -66,21 +73,49 @@
 ///
 /// `random` are two independent random numbers. A candidate of a lower weight
 /// is drawn as much less often, so that a cold one gets its share and no more.
-pub fn choose_server(candidates: &[Candidate], random: [u64; 2]) -> Option<usize> {
+/// The first is drawn among those in the own availability zone, if there are
+/// any: bytes between zones cost, and the second one shows when that zone is
+/// short of room. `far` is the delay that another zone must save.
+pub fn choose_server(candidates: &[Candidate], random: [u64; 2], far: Duration) -> Option<usize> {
     let total: f64 = candidates.iter().map(|item| item.weight).sum();
-    let first = draw(candidates, total, random[0])?;
+    let near: Vec<Candidate> = candidates.iter().map(near_only).collect();
+    let near_total = near.iter().map(|item| item.weight).sum();
+    let first = match near_total > 0.0 {
+        true => draw(&near, near_total, random[0])?,
+        false => draw(candidates, total, random[0])?,
+    };
     let rest = total - candidates[first].weight;
     let second = match rest {
         rest if rest <= 0.0 => return Some(first),
         rest => draw_other(candidates, rest, random[1], first)?,
     };
-    let pair = [first, second].map(|place| expected_delay(&candidates[place]));
+    let cost = |place: usize| {
+        let extra = if candidates[place].is_near() {
+            Duration::ZERO
+        } else {
+            far
+        };
+        expected_delay(&candidates[place]) + extra
+    };
+    let pair = [first, second].map(cost);
     match pair[0] <= pair[1] {
         true => Some(first),
         false => Some(second),
     }
 }
 
+/// The candidate, without weight if it is in another zone.
+fn near_only(candidate: &Candidate) -> Candidate {
+    Candidate {
+        weight: if candidate.is_near() {
+            candidate.weight
+        } else {
+            0.0
+        },
+        ..*candidate
+    }
+}
+
 /// Draws by weight.
 fn draw(candidates: &[Candidate], total: f64, random: u64) -> Option<usize> {
     draw_other(candidates, total, random, usize::MAX)
--- a/crates/route/tests/server_choice.rs
+++ b/crates/route/tests/server_choice.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
+const OTHER_ZONE: Duration = Duration::from_millis(10);
+
 use route::{Candidate, Distance, choose_server, is_idempotent};
 use test_case::test_case;
 
@@ -47,7 +49,7 @@
     let mut first = 0;
     for _ in 0..10_000 {
         let random = [rng.next_u64(), rng.next_u64()];
-        first += usize::from(choose_server(candidates, random) == Some(0));
+        first += usize::from(choose_server(candidates, random, OTHER_ZONE) == Some(0));
     }
     first as f64 / 10_000.0
 }
@@ -66,9 +68,12 @@
 
 #[test]
 fn none_in_rotation() {
-    assert_eq!(choose_server(&[OUT, OUT], [1, 2]), None);
-    assert_eq!(choose_server(&[], [1, 2]), None);
-    assert_eq!(choose_server(&[IDLE], [u64::MAX, u64::MAX]), Some(0));
+    assert_eq!(choose_server(&[OUT, OUT], [1, 2], Duration::ZERO), None);
+    assert_eq!(choose_server(&[], [1, 2], Duration::ZERO), None);
+    assert_eq!(
+        choose_server(&[IDLE], [u64::MAX, u64::MAX], Duration::ZERO),
+        Some(0)
+    );
 }
 
 #[test_case("GET", None, true)]
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -21,7 +21,7 @@
     hop::HopCall,
     ingress::Ingress,
     link::LinkError,
-    pool::{Choice, PoolState, ServerState},
+    pool::{Choice, ChoiceWish, PoolState, ServerState},
     run::RunOptions,
     wire::{self, Attempt, EgressOutcome, EgressReport, NotRun},
 };
@@ -236,6 +236,7 @@
                 }
             }
             let tick = clock.instant(search.next_tick());
+            let ended = self.ingress.view.search_ended();
             tokio::select! {
                 biased;
                 Some((id, reply)) = offers.call.replies.recv() => {
@@ -246,6 +247,8 @@
                     events.push_back(SearchEvent::Reply(id, reply));
                 }
                 () = tokio::time::sleep_until(tick) => events.push_back(SearchEvent::Tick),
+                // Dropping the search takes the open offers back.
+                () = ended => return Err(Some(NotRun::Leaving)),
             }
         }
     }
@@ -265,9 +268,13 @@
                 forced: false,
             }),
             None => {
+                let wish = ChoiceWish {
+                    repeatable: self.options().idempotent,
+                    bulk: self.options().bulk,
+                };
                 let mut tried = self.asked.clone();
                 tried.extend(lock(&self.source.ran_at).iter().cloned());
-                let chosen = self.pool.choose(view, &tried, self.options().idempotent);
+                let chosen = self.pool.choose(view, &tried, wish);
                 // Two forced offers would repeat each other.
                 chosen.filter(|choice| !choice.forced || !self.forced)
             }
@@ -310,6 +317,7 @@
             bulk: options.bulk,
             repeatable: options.idempotent,
             forced: choice.forced,
+            target_us: self.ingress.clock.until(options.target).as_micros() as u64,
             remaining_us: remaining.as_micros() as u64,
         }
     }
@@ -319,6 +327,7 @@
         let Some(choice) = self.offers.get(&id) else {
             return;
         };
+        choice.server.note_heard();
         match reply {
             OfferReply::Waiting(load) => choice.server.note_load(load, 0),
             OfferReply::Refused(reason, load) => {
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -46,6 +46,8 @@
 /// Time that peers get to learn that this daemon leaves, before the peer
 /// address closes.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
+/// Part of the grace that is left for callers whose requests get no slot.
+const SEARCH_RESERVE: Duration = Duration::from_millis(500);
 /// Part of the grace that is left for ending the process.
 const END_RESERVE: Duration = Duration::from_millis(400);
 
@@ -325,6 +327,8 @@
         let grace = settings.budgets.grace();
         let end = Instant::now() + grace.saturating_sub(END_RESERVE);
         self.view.set_leaving(true);
+        self.view
+            .set_search_end(end - SEARCH_RESERVE.min(grace / 4));
         tokio::time::sleep(settings.policy.linger()).await;
         self.egress.set_draining(true);
         self.stops[0].stop();
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -149,6 +149,7 @@
             internal: offered.internal,
             bulk: offered.bulk,
             weight: offered.weight,
+            target: self.clock.now() + Duration::from_micros(offered.target_us),
             deadline,
         };
         desk.handle(self.clock.now(), Event::Arrive(job));
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -13,7 +13,7 @@
     header::{CONNECTION, HOST, HeaderValue},
     http::request::Parts,
 };
-use ids::ServiceId;
+use ids::{Rank, ServiceId};
 
 use crate::{
     answer::Refusal,
@@ -128,9 +128,7 @@
         let route = &admission.route;
         let account = admission.caller.as_ref().map(|(_, account)| account);
         let options = RunOptions {
-            rank: account
-                .and_then(|account| account.rank)
-                .unwrap_or(route.terms.rank),
+            rank: self.rank_of(route, account),
             max_attempts: route.terms.max_attempts,
             account: admission
                 .caller
@@ -140,6 +138,9 @@
             internal: route.class == Class::Internal,
             bulk: route.bulk,
             idempotent: route::is_idempotent(head.method.as_str(), route.idempotent),
+            target: route.terms.target_ms.map_or(deadline, |millis| {
+                deadline.min(started + Duration::from_millis(u64::from(millis)))
+            }),
             deadline,
             started,
         };
@@ -185,6 +186,18 @@
         })
     }
 
+    /// Rank of a request among those that wait for a slot.
+    ///
+    /// What comes for no account to a VM with a backend server are calls of
+    /// requests that run and hold a slot elsewhere, so they go first.
+    fn rank_of(&self, route: &Route, account: Option<&Arc<Account>>) -> Rank {
+        match account {
+            Some(account) => account.rank.unwrap_or(route.terms.rank),
+            None if self.local_service.is_some() => Rank(0),
+            None => route.terms.rank,
+        }
+    }
+
     /// Holds a small body so that it can be sent again.
     async fn take_body(&self, body: ProxyBody) -> Result<(ProxyBody, Option<Bytes>), Refusal> {
         if body.is_end_stream() {
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -33,6 +33,14 @@
 /// last heard to be: for requests that may be its next trial, and for others.
 const FAILING_TRIAL_MS: u64 = 120;
 const FAILING_MS: u64 = 1_000;
+/// Delay that a server in another zone must save, for small answers and for
+/// large ones: their bytes between zones cost.
+const FAR: Duration = Duration::from_millis(10);
+const FAR_BULK: Duration = Duration::from_millis(120);
+/// Time for which a server is left out whose daemon did not answer, first and
+/// longest; it doubles while there is no answer.
+const SILENT_MS: u64 = 150;
+const MAX_SILENT_MS: u64 = 3_000;
 /// Connections to one peer.
 const PEER_CONNECTIONS: usize = 512;
 
@@ -57,6 +65,10 @@
     /// When it was last heard to be failing, in milliseconds from `start` and
     /// one more; zero if it is not.
     failing_ms: AtomicU64,
+    /// Offers in a row that its daemon did not answer, and until when it is
+    /// left out, in milliseconds from `start`.
+    unanswered: AtomicU32,
+    silent_until_ms: AtomicU64,
 }
 
 impl ServerState {
@@ -105,10 +117,26 @@
         }
     }
 
-    /// The daemon beside it does not answer: it counts as failing until it is
-    /// tried again.
+    /// The daemon beside it does not answer.
     pub fn note_silent(&self) {
-        self.note_gate(true);
+        let now = self.age_ms();
+        if now < self.silent_until_ms.load(Ordering::Relaxed) {
+            return;
+        }
+        let before = self.unanswered.fetch_add(1, Ordering::Relaxed);
+        let pause = (SILENT_MS << before.min(6)).min(MAX_SILENT_MS);
+        self.silent_until_ms.store(now + pause, Ordering::Relaxed);
+    }
+
+    /// The daemon beside it has answered.
+    pub fn note_heard(&self) {
+        self.unanswered.store(0, Ordering::Relaxed);
+        self.silent_until_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// Whether its daemon did not answer of late.
+    fn is_silent(&self) -> bool {
+        self.age_ms() < self.silent_until_ms.load(Ordering::Relaxed)
     }
 
     /// Sets the share of traffic that it may take, 0 to 1.
@@ -233,21 +261,29 @@
     ///
     /// One that is taken for failing is chosen only if there is no other, and
     /// then marked as forced; it may have been tried before.
-    pub fn choose(&self, view: &FleetView, tried: &[ServerId], repeatable: bool) -> Option<Choice> {
+    pub fn choose(
+        &self,
+        view: &FleetView,
+        tried: &[ServerId],
+        wanted: ChoiceWish,
+    ) -> Option<Choice> {
+        let ChoiceWish { repeatable, bulk } = wanted;
+        let far = if bulk { FAR_BULK } else { FAR };
         let usable = |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm);
         let states: Vec<&Arc<ServerState>> = self.servers.iter().filter(usable).collect();
         let fresh = |state: &&&Arc<ServerState>| {
-            !tried.contains(&state.backend.id) && !state.is_failing(repeatable)
+            let tried = tried.contains(&state.backend.id);
+            !tried && !state.is_silent() && !state.is_failing(repeatable)
         };
         let sound: Vec<&Arc<ServerState>> = states.iter().filter(fresh).copied().collect();
-        if let Some(server) = choose_among(sound) {
+        if let Some(server) = choose_among(sound, far) {
             return Some(Choice {
                 server,
                 forced: false,
             });
         }
-        let failing = states.into_iter().filter(|state| state.is_failing(false));
-        let server = choose_among(failing.collect())?;
+        let failing = |state: &&Arc<ServerState>| state.is_failing(false) || state.is_silent();
+        let server = choose_among(states.into_iter().filter(failing).collect(), far)?;
         Some(Choice {
             server,
             forced: true,
@@ -255,6 +291,15 @@
     }
 }
 
+/// What matters of a request when a server is chosen for it.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceWish {
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether its answer is large.
+    pub bulk: bool,
+}
+
 /// A backend server for an attempt.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -265,13 +310,13 @@
 }
 
 /// Chooses one of several by expected delay.
-fn choose_among(mut states: Vec<&Arc<ServerState>>) -> Option<Arc<ServerState>> {
+fn choose_among(mut states: Vec<&Arc<ServerState>>, far: Duration) -> Option<Arc<ServerState>> {
     // One that leaves is asked only if there is no other.
     if states.iter().any(|state| !state.is_resting()) {
         states.retain(|state| !state.is_resting());
     }
     let candidates: Vec<Candidate> = states.iter().map(|state| state.candidate()).collect();
-    let place = choose_server(&candidates, [rand::random(), rand::random()])?;
+    let place = choose_server(&candidates, [rand::random(), rand::random()], far)?;
     Some(Arc::clone(states[place]))
 }
 
@@ -415,6 +460,8 @@
             weight: AtomicU32::new(FULL_WEIGHT),
             canary: AtomicU8::new(NO_CANARY),
             failing_ms: AtomicU64::new(0),
+            unanswered: AtomicU32::new(0),
+            silent_until_ms: AtomicU64::new(0),
         }))
     }
 
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -42,6 +42,8 @@
     pub bulk: bool,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Until when an answer is worth most to the caller.
+    pub target: MonoTime,
     /// When the caller's time is up.
     pub deadline: MonoTime,
     /// When the request came.
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -9,6 +9,7 @@
 use config::{ConfigTable, VmList, VmState};
 use ids::{FastSet, VmId, ZoneId};
 use route::Distance;
+use tokio::{sync::watch, time::Instant};
 
 /// Configuration and VM list in force, behind read-copy-update.
 #[derive(Debug)]
@@ -23,6 +24,9 @@
     /// walk over thousands of entries would cost more than the request.
     live: ArcSwap<FastSet<VmId>>,
     leaving: AtomicBool,
+    /// Until when requests of callers may wait for a slot, once this daemon
+    /// shuts down.
+    search_end: watch::Sender<Option<Instant>>,
     isolated: AtomicBool,
 }
 
@@ -36,6 +40,7 @@
             vms: ArcSwap::default(),
             live: ArcSwap::default(),
             leaving: AtomicBool::new(false),
+            search_end: watch::Sender::new(None),
             isolated: AtomicBool::new(false),
         }
     }
@@ -91,6 +96,25 @@
         self.leaving.store(leaving, Ordering::Release);
     }
 
+    /// Sets until when requests of callers may wait for a slot.
+    pub fn set_search_end(&self, end: Instant) {
+        self.search_end.send_replace(Some(end));
+    }
+
+    /// Waits until requests of callers have to be refused: this daemon is
+    /// about to end, and a refusal is better than a closed connection.
+    pub async fn search_ended(&self) {
+        let mut ends = self.search_end.subscribe();
+        loop {
+            let end = *ends.borrow_and_update();
+            match end {
+                Some(end) => return tokio::time::sleep_until(end).await,
+                None if ends.changed().await.is_err() => std::future::pending().await,
+                None => {}
+            }
+        }
+    }
+
     /// Whether neither the platform nor enough peers can be heard.
     pub fn is_isolated(&self) -> bool {
         self.isolated.load(Ordering::Acquire)
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -13,6 +13,7 @@
 use harness::{Fleet, FleetShape};
 use hyper::{Method, StatusCode};
 use ids::Revision;
+use serve::Budgets;
 
 /// A body that takes a while at [`PACE`] a frame.
 fn large_body() -> Bytes {
@@ -180,3 +181,44 @@
     tokio::join!(traffic, dying.kill());
     fleet.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_request_is_refused_at_the_end() {
+    // Pattern: the only slot is taken for longer than the grace. A request
+    // that waits for it at a daemon that stops is refused before the process
+    // ends; its connection is not just closed.
+    let shape = FleetShape {
+        servers: 1,
+        slots: 1,
+        budgets: Budgets {
+            grace_s: 3,
+            ..Budgets::default()
+        },
+        ..FleetShape::default()
+    };
+    let mut fleet = Fleet::start(shape).await;
+    fleet.backends[0].hold();
+    fleet.backends[0].set_behaviour(Behaviour::Held);
+    let leaving = fleet.daemons[2].take().unwrap();
+    let first = async {
+        let answer = fleet.book(0, "first").await;
+        fleet.backends[0].set_behaviour(Behaviour::Answer);
+        answer
+    };
+    let second = async {
+        fleet
+            .wait_until("dispatched", |fleet| fleet.runs("first") == 1)
+            .await;
+        fleet.book(2, "second").await
+    };
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        leaving.stop().await;
+        fleet.backends[0].release();
+    };
+    let (_, second, ()) = tokio::join!(first, second, stop);
+    assert_eq!(second.status, StatusCode::SERVICE_UNAVAILABLE, "{second:?}");
+    assert_eq!(second.outcome(), "not-run");
+    assert_eq!(fleet.runs("second"), 0);
+    fleet.stop().await;
+}
