--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -161,8 +161,14 @@
             call: self.ingress.port.call(),
             open: VecDeque::new(),
         };
+        let searched = self.ingress.clock.now();
         let slot = match self.find_slot(&mut offers, may_canary).await {
-            Ok(slot) => slot,
+            Ok(slot) => {
+                let waited = self.ingress.clock.now().since(searched);
+                let wait = waited.as_secs_f64();
+                self.ingress.metrics.slot_wait.observe(wait);
+                slot
+            }
             Err(None) => return AttemptResult::NoServer,
             Err(Some(reason)) => {
                 // The search has asked all others already.
@@ -328,6 +334,16 @@
             return;
         };
         choice.server.note_heard();
+        let trail = &self.options().trail;
+        let server = &choice.server.backend.id;
+        match reply {
+            OfferReply::Waiting(load) => {
+                trail.note(server, format_args!("waiting {} ms", load.delay_us / 1_000));
+            }
+            OfferReply::Granted => trail.note(server, "granted"),
+            OfferReply::Refused(reason, _) => trail.note(server, reason),
+            OfferReply::Committed => {}
+        }
         match reply {
             OfferReply::Waiting(load) => choice.server.note_load(load, 0),
             OfferReply::Refused(reason, load) => {
@@ -345,12 +361,8 @@
     /// The daemon beside a server does not answer.
     fn note_silent(&self, id: OfferId) {
         if let Some(choice) = self.offers.get(&id) {
-            log::info!(
-                "ingress: request {:016x}, no answer from {} beside {}.",
-                self.source.number,
-                choice.server.backend.vm,
-                choice.server.backend.id
-            );
+            let trail = &self.options().trail;
+            trail.note(&choice.server.backend.id, "silent");
             choice.server.note_silent();
             self.note_unreached(&choice.server);
         }
@@ -427,11 +439,8 @@
                 AttemptResult::Ended(AttemptEnd::Unsent, Some(NotRun::Unreachable))
             }
             Err(LinkError::Lost(cause)) => {
-                log::info!(
-                    "ingress: request {:016x}, connection to {} lost: {cause}.",
-                    self.source.number,
-                    server.backend.vm
-                );
+                let trail = &self.options().trail;
+                trail.note(&server.backend.id, format_args!("hop lost: {cause}"));
                 self.note_unreached(server);
                 self.account_for(call, slot).await
             }
@@ -498,6 +507,18 @@
     async fn read_answer(&self, server: &Arc<ServerState>, answer: EgressAnswer) -> AttemptResult {
         let report = answer.report;
         server.note_load(&report.load, report.service_us);
+        let status = answer
+            .response
+            .as_ref()
+            .map(|answer| answer.status().as_u16());
+        let trail = &self.options().trail;
+        match (report.outcome, status) {
+            (EgressOutcome::Answered, Some(status)) => {
+                trail.note(&server.backend.id, format_args!("status {status}"));
+            }
+            (EgressOutcome::NotRun(reason), _) => trail.note(&server.backend.id, reason),
+            (outcome, _) => trail.note(&server.backend.id, format_args!("{outcome:?}")),
+        }
         let service = Duration::from_micros(report.service_us);
         self.note_evidence(server, &report, service);
         match (report.outcome, answer.response) {
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -32,6 +32,7 @@
     probe::probe_all,
     settings::{LiveSettings, Settings},
     task::{StopSource, TaskGroup},
+    trail::LineBudget,
     view::FleetView,
     wire::HeaderSeal,
 };
@@ -225,6 +226,8 @@
             metrics: Arc::clone(&metrics),
             gate: RateGate::new(clock, control.clone()),
             control: control.clone(),
+            answer_lines: LineBudget::new(Ingress::ANSWER_LINES),
+            failure_lines: LineBudget::new(Ingress::FAILURE_LINES),
         });
         let desk = Arc::new(PeerDesk {
             egress: Arc::clone(&egress),
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -13,7 +13,7 @@
 use health::{Outcome, STUCK_FACTOR, ServerGate, Verdict};
 use hop::{OfferJob, ServerLoad};
 use http_body_util::BodyExt;
-use hyper::{Request, Response, body::Body};
+use hyper::{Request, Response, body::Body, header::HeaderValue};
 use ids::{MonoTime, ServerId, Slots};
 use tokio::sync::oneshot;
 
@@ -93,8 +93,11 @@
         if before != after {
             let state = if after { "closed" } else { "open" };
             log::info!(
-                "egress: gate of {} {state} after {outcome:?}, odds {odds:.1}.",
-                self.id
+                server = self.id.as_str(),
+                state = state,
+                outcome = format!("{outcome:?}").as_str(),
+                odds = odds;
+                "egress: gate changed."
             );
             self.give_notice();
         }
@@ -238,12 +241,7 @@
                 self.refused(NotRun::Unreachable)
             }
             Some(Err(LinkError::Lost(cause))) => {
-                log::warn!(
-                    "egress: request {:016x}, server {}: answer lost after {} us: {cause}.",
-                    attempt.request,
-                    self.id,
-                    service.as_micros()
-                );
+                self.log_lost(name.as_ref(), attempt, &cause, service);
                 self.note_outcome(Outcome::Lost);
                 self.note_failure(overdue);
                 self.ended(EgressOutcome::Lost)
@@ -255,6 +253,26 @@
         }
     }
 
+    /// Logs an answer that was lost.
+    fn log_lost(
+        &self,
+        name: Option<&HeaderValue>,
+        attempt: &Attempt,
+        cause: &str,
+        service: Duration,
+    ) {
+        let number = format!("{:016x}", attempt.request);
+        let name = name.and_then(|name| name.to_str().ok());
+        log::warn!(
+            request = name.unwrap_or(&number),
+            server = self.id.as_str(),
+            from = attempt.from.as_str(),
+            after_us = service.as_micros() as u64,
+            cause = cause;
+            "egress: answer of the backend server lost."
+        );
+    }
+
     /// Makes the request that the backend server sees.
     fn prepare(
         &self,
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -28,6 +28,7 @@
     pool::{PoolState, PoolTable},
     run::{RequestRun, RunOptions},
     settings::LiveSettings,
+    trail::{LineBudget, RequestTrail},
     view::FleetView,
     wire::HeaderSeal,
 };
@@ -65,6 +66,16 @@
     pub gate: RateGate,
     /// The control loop, which takes evidence.
     pub control: ControlSender,
+    /// Lines of answered requests, and of all others.
+    pub answer_lines: LineBudget,
+    pub failure_lines: LineBudget,
+}
+
+impl Ingress {
+    /// Lines a second of answered requests: a sample.
+    pub const ANSWER_LINES: u64 = 2;
+    /// Lines a second of refused and failed requests.
+    pub const FAILURE_LINES: u64 = 50;
 }
 
 /// A request that was let in.
@@ -94,13 +105,12 @@
         B::Error: Into<crate::body::BodyError>,
     {
         let request = request.map(crate::body::box_body);
-        let result = self.try_serve(request).await;
-        match &result {
-            Ok(_) => self.metrics.count_outcome("answered", ""),
-            Err(refusal) => self
-                .metrics
-                .count_outcome(refusal.outcome(), &refusal.to_string()),
-        }
+        let name = self.codec.request_name(request.headers());
+        let name = name.and_then(|name| name.to_str().map(str::to_owned).ok());
+        let name = name.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
+        let trail = Arc::new(RequestTrail::new(name));
+        let result = self.try_serve(request, &trail).await;
+        self.note_end(&trail, &result);
         let mut response = result.unwrap_or_else(|refusal| refusal.response(&*self.codec));
         if self.view.is_leaving() {
             // The caller's next request goes to another daemon.
@@ -110,16 +120,55 @@
         response
     }
 
+    /// Counts and logs how a request ended; answers as far as the volume of
+    /// the log allows, refusals and failures before them.
+    fn note_end(&self, trail: &RequestTrail, result: &Result<Response<ProxyBody>, Refusal>) {
+        let (level, status, outcome, reason) = match result {
+            Ok(response) => {
+                let level = match response.status().is_server_error() {
+                    true => log::Level::Warn,
+                    false => log::Level::Info,
+                };
+                (level, response.status(), "answered", String::new())
+            }
+            Err(refusal) => {
+                let reason = refusal.to_string();
+                (
+                    log::Level::Warn,
+                    refusal.status(),
+                    refusal.outcome(),
+                    reason,
+                )
+            }
+        };
+        self.metrics.count_outcome(outcome, &reason);
+        self.metrics.total.observe(trail.elapsed().as_secs_f64());
+        let budget = match level {
+            log::Level::Info => &self.answer_lines,
+            _ => &self.failure_lines,
+        };
+        match budget.take() {
+            true => trail.log(level, status.as_u16(), outcome, &reason),
+            false => {
+                self.metrics.unlogged.inc();
+            }
+        }
+    }
+
     /// Answers a caller's request, or says why not.
     async fn try_serve(
         self: &Arc<Self>,
         request: Request<ProxyBody>,
+        trail: &Arc<RequestTrail>,
     ) -> Result<Response<ProxyBody>, Refusal> {
         let started = self.clock.now();
         let (mut head, body) = request.into_parts();
         let caller = self.codec.read_caller(&mut head.headers);
         let admission = self.admit(&head, &caller)?;
         let deadline = started + admission.patience(&caller);
+        let account = admission.caller.as_ref().map(|(_, account)| &account.id);
+        let revision = self.view.table().revision().get();
+        trail.admit(&admission.pool.service.id, account, revision);
         let (body, replay) = self.take_body(body).await?;
         let token = match &admission.caller {
             Some((_, account)) => Some(self.gate.take(&account.id).await?),
@@ -128,6 +177,7 @@
         let route = &admission.route;
         let account = admission.caller.as_ref().map(|(_, account)| account);
         let options = RunOptions {
+            trail: Arc::clone(trail),
             rank: self.rank_of(route, account),
             max_attempts: route.terms.max_attempts,
             account: admission
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -30,6 +30,7 @@
 mod run;
 mod settings;
 mod task;
+mod trail;
 mod view;
 mod wire;
 
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -35,6 +35,12 @@
     pub requests: Family<OutcomeLabel, Counter>,
     /// Time that the daemon added to a request, in seconds.
     pub added: Histogram,
+    /// Time from a request to its end, in seconds.
+    pub total: Histogram,
+    /// Time that a request waited for a slot, in seconds.
+    pub slot_wait: Histogram,
+    /// Requests whose end was not logged, to bound the log's volume.
+    pub unlogged: Counter,
     /// Retries and hedges by service.
     pub retries: Family<ServiceLabel, Counter>,
     /// Ejections by service.
@@ -66,6 +72,9 @@
             registry: Registry::default(),
             requests: Family::default(),
             added: Histogram::new(exponential_buckets(0.000_05, 2.0, 16)),
+            total: Histogram::new(exponential_buckets(0.001, 2.0, 16)),
+            slot_wait: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
+            unlogged: Counter::default(),
             retries: Family::default(),
             ejections: Family::default(),
             revision: Gauge::default(),
@@ -96,6 +105,21 @@
             "Time that the daemon added to a request",
             self.added.clone(),
         );
+        registry.register(
+            "request_seconds",
+            "Time from a request to its end",
+            self.total.clone(),
+        );
+        registry.register(
+            "slot_wait_seconds",
+            "Time that a request waited for a slot",
+            self.slot_wait.clone(),
+        );
+        registry.register(
+            "requests_unlogged",
+            "Requests whose end was not logged",
+            self.unlogged.clone(),
+        );
         registry.register("retries", "Retries and hedges", self.retries.clone());
         registry.register(
             "ejections",
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -22,12 +22,15 @@
     metrics::ServiceLabel,
     pool::PoolState,
     resume::resumable,
+    trail::RequestTrail,
     wire::{self, NotRun},
 };
 
 /// What a run needs to know beside the request.
 #[derive(Clone, Debug)]
 pub struct RunOptions {
+    /// Where its steps are noted.
+    pub trail: Arc<RequestTrail>,
     /// The client account.
     pub account: Option<Arc<Account>>,
     /// Digest of its key.
--- /dev/null
+++ b/crates/serve/src/trail.rs
@@ -0,0 +1,147 @@
+//! What became of one request, for the one line that is logged of it.
+
+use std::{
+    fmt,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use ids::{AccountId, ServerId, ServiceId};
+
+/// Steps of one request that are kept.
+const MAX_STEPS: usize = 24;
+
+/// Something that happened to a request at a backend server.
+#[derive(Clone, Debug)]
+struct TrailStep {
+    at: Duration,
+    server: ServerId,
+    what: String,
+}
+
+/// What is known of a request beside its steps.
+#[derive(Clone, Debug, Default)]
+struct TrailHead {
+    service: Option<ServiceId>,
+    account: Option<AccountId>,
+    revision: u64,
+    steps: Vec<TrailStep>,
+}
+
+/// The way of one request through the fleet, as its ingress saw it.
+#[derive(Debug)]
+pub struct RequestTrail {
+    /// The caller's name for it, or a random number.
+    pub name: String,
+    started: Instant,
+    head: Mutex<TrailHead>,
+}
+
+impl RequestTrail {
+    /// A request that begins now.
+    pub fn new(name: String) -> Self {
+        Self {
+            name,
+            started: Instant::now(),
+            head: Mutex::default(),
+        }
+    }
+
+    /// Notes what the request was let in as, under a configuration revision.
+    pub fn admit(&self, service: &ServiceId, account: Option<&AccountId>, revision: u64) {
+        let mut head = self.lock();
+        head.service = Some(service.clone());
+        head.account = account.cloned();
+        head.revision = revision;
+    }
+
+    /// Notes a step.
+    pub fn note(&self, server: &ServerId, what: impl fmt::Display) {
+        let mut head = self.lock();
+        if head.steps.len() < MAX_STEPS {
+            head.steps.push(TrailStep {
+                at: self.started.elapsed(),
+                server: server.clone(),
+                what: what.to_string(),
+            });
+        }
+    }
+
+    /// Time since the request began.
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Writes the line of a request that has ended.
+    pub fn log(&self, level: log::Level, status: u16, outcome: &str, reason: &str) {
+        let head = self.lock();
+        let service = head.service.as_ref().map_or("", ServiceId::as_str);
+        let account = head.account.as_ref().map_or("", AccountId::as_str);
+        log::log!(
+            level,
+            request = self.name.as_str(),
+            service = service,
+            account = account,
+            revision = head.revision,
+            status = status,
+            outcome = outcome,
+            reason = reason,
+            total_ms = self.elapsed().as_millis() as u64,
+            steps = steps_text(&head.steps).as_str();
+            "ingress: request ended."
+        );
+    }
+
+    /// The head; no holder panics.
+    fn lock(&self) -> MutexGuard<'_, TrailHead> {
+        self.head
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+}
+
+/// Steps as `milliseconds server what`, in order.
+fn steps_text(steps: &[TrailStep]) -> String {
+    let step = |step: &TrailStep| format!("{} {} {}", step.at.as_millis(), step.server, step.what);
+    steps.iter().map(step).collect::<Vec<_>>().join("; ")
+}
+
+/// Bounds the lines of one kind: so many a second, the rest is counted.
+#[derive(Debug)]
+pub struct LineBudget {
+    per_s: u64,
+    started: Instant,
+    /// The second that is counted, and the lines in it.
+    window: AtomicU64,
+}
+
+/// Bits of the number of lines in a window.
+const COUNT_BITS: u32 = 24;
+
+impl LineBudget {
+    /// At most `per_s` lines a second.
+    pub fn new(per_s: u64) -> Self {
+        Self {
+            per_s,
+            started: Instant::now(),
+            window: AtomicU64::new(0),
+        }
+    }
+
+    /// Takes a line, if one is left in this second.
+    pub fn take(&self) -> bool {
+        let second = self.started.elapsed().as_secs();
+        let next = |window: u64| {
+            let count = match window >> COUNT_BITS {
+                counted if counted == second => window & ((1 << COUNT_BITS) - 1),
+                _ => 0,
+            };
+            (count < self.per_s).then_some(second << COUNT_BITS | (count + 1))
+        };
+        let order = Ordering::Relaxed;
+        self.window.fetch_update(order, order, next).is_ok()
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,7 +22,9 @@
             return ExitCode::from(USAGE_EXIT);
         }
     };
-    match run_command(command) {
+    let result = run_command(command);
+    logs::finish();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dogwoodshore: {error}");
--- a/src/run.rs
+++ b/src/run.rs
@@ -124,6 +124,7 @@
             floor: settings.policy.floor(),
             retry_budget: settings.policy.retry_budget(),
         },
+        return_time: StoreFeedOptions::RETURN_TIME,
     }
 }
 
