--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -42,8 +42,10 @@
 
 /// Time between looks for connections that were idle for too long.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
-/// Time between ticks of the state machines.
+/// Time between ticks of the state machines while requests wait for tokens,
+/// and at other times: each tick wakes the process.
 const TICK: Duration = Duration::from_millis(20);
+const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Gap between ticks that counts as a pause of the process.
 const PAUSE: Duration = Duration::from_secs(1);
 /// Time without a reply of any peer after which a daemon that is in no cell
@@ -134,13 +136,19 @@
 
     /// Runs until `stop` turns.
     pub async fn run(mut self, mut events: ControlReceiver, mut stop: StopSignal) {
-        let mut ticks = tokio::time::interval(TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticked = tokio::time::Instant::now();
         loop {
+            let pause = match self.waiting.is_empty() {
+                true => IDLE_TICK,
+                false => TICK,
+            };
             tokio::select! {
                 biased;
                 () = stop.stopped() => break,
-                _ = ticks.tick() => self.tick(),
+                () = tokio::time::sleep_until(ticked + pause) => {
+                    ticked = tokio::time::Instant::now();
+                    self.tick();
+                }
                 Some(event) = events.recv() => self.take_event(event),
                 (from, message) = self.parts.socket.receive() => self.receive(from, message),
             }
