--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Request, Response, Version, http::request::Parts};
-use ids::{FastMap, MonoTime, ServerId, VmId, Weight};
+use ids::{FastMap, FastSet, MonoTime, ServerId, VmId, Weight};
 use route::AttemptEnd;
 
 use hop::{OfferId, OfferJob, OfferReply, SearchAction, SearchEvent, SearchOptions, SlotSearch};
@@ -61,6 +61,8 @@
     /// Servers with an offer that is not decided or was refused.
     asked: Vec<ServerId>,
     offers: FastMap<OfferId, Choice>,
+    /// Offers that were answered.
+    answered: FastSet<OfferId>,
     /// Whether a server that is taken for failing was asked.
     forced: bool,
     /// Tells how it went if this is a canary.
@@ -152,6 +154,7 @@
             source,
             asked: Vec::new(),
             offers: FastMap::default(),
+            answered: FastSet::default(),
             forced: false,
             canary: None,
         }
@@ -331,17 +334,19 @@
     }
 
     /// Takes load and evidence from an answer to an offer.
-    fn note_reply(&self, id: OfferId, reply: &OfferReply) {
+    fn note_reply(&mut self, id: OfferId, reply: &OfferReply) {
         let Some(choice) = self.offers.get(&id) else {
             return;
         };
         choice.server.note_heard();
-        let trail = &self.options().trail;
+        let first = self.answered.insert(id);
+        let trail = &self.source.options.trail;
         let server = &choice.server.backend.id;
         match reply {
-            OfferReply::Waiting(load) => {
+            OfferReply::Waiting(load) if first => {
                 trail.note(server, format_args!("waiting {} ms", load.delay_us / 1_000));
             }
+            OfferReply::Waiting(_) => {}
             OfferReply::Granted => trail.note(server, "granted"),
             OfferReply::Refused(reason, _) => trail.note(server, reason),
             OfferReply::Committed => {}
