Count what the gates keep away in the floor, at the choice of a server

Change: where ejected and closed servers together leave less than the floor, the ejected ones are candidates again. The bound of attempts of a plan is 4 again, as its fuzz test has it: searches ask further servers by themselves.

--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use ids::Percent;
+
 /// How far a backend server's VM is.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Distance {
@@ -104,6 +106,24 @@
     }
 }
 
+/// Weight at which a candidate that was ejected is put back for the floor.
+const FLOOR_WEIGHT: f64 = 0.5;
+
+/// Puts ejected candidates back where too few are left in rotation.
+///
+/// `pool` is the number of servers of the pool, of which `candidates` are those
+/// that are not taken for failing by their own egress. An ejection by this
+/// daemon, added to those, may leave less than the floor.
+pub fn keep_floor(candidates: &mut [Candidate], pool: usize, floor: Percent) {
+    let left = candidates.iter().filter(|item| item.weight > 0.0).count();
+    if left as f64 >= pool as f64 * floor.fraction() {
+        return;
+    }
+    for candidate in candidates.iter_mut().filter(|item| item.weight <= 0.0) {
+        candidate.weight = FLOOR_WEIGHT;
+    }
+}
+
 /// The candidate, without weight if it is in another zone.
 fn near_only(candidate: &Candidate) -> Candidate {
     Candidate {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,7 +12,7 @@
 mod quantile;
 
 pub use budget::RetryBudget;
-pub use choice::{Candidate, Distance, choose_server, expected_delay};
+pub use choice::{Candidate, Distance, choose_server, expected_delay, keep_floor};
 pub use idempotence::is_idempotent;
 pub use plan::{
     AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, PlanAction, PlanEvent, PlanOptions,
--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -7,7 +7,7 @@
 use crate::RetryBudget;
 
 /// Most attempts of one request, whatever the budget holds.
-const MAX_ATTEMPTS: u32 = 8;
+const MAX_ATTEMPTS: u32 = 4;
 
 /// Number of an attempt, from 0.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/crates/route/tests/server_choice.rs
+++ b/crates/route/tests/server_choice.rs
@@ -5,7 +5,8 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 const OTHER_ZONE: Duration = Duration::from_millis(10);
 
-use route::{Candidate, Distance, choose_server, is_idempotent};
+use ids::Percent;
+use route::{Candidate, Distance, choose_server, is_idempotent, keep_floor};
 use test_case::test_case;
 
 const IDLE: Candidate = Candidate {
@@ -84,3 +85,15 @@
 fn idempotence(method: &str, route: Option<bool>, expected: bool) {
     assert_eq!(is_idempotent(method, route), expected);
 }
+
+#[test_case(6, &[IDLE, IDLE, IDLE, IDLE, OUT], false; "floor is kept")]
+#[test_case(6, &[IDLE, IDLE, OUT, OUT], true; "failing and ejected leave too few")]
+#[test_case(3, &[IDLE, IDLE, OUT], true; "small pool")]
+#[test_case(2, &[OUT], true; "nobody is left")]
+fn floor_puts_back(pool: usize, candidates: &[Candidate], back: bool) {
+    let mut candidates = candidates.to_vec();
+    let before = candidates.clone();
+    keep_floor(&mut candidates, pool, Percent(67));
+    assert_eq!(candidates != before, back);
+    assert_eq!(candidates.iter().all(|item| item.weight > 0.0), back);
+}
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -11,8 +11,8 @@
 use arc_swap::ArcSwap;
 use config::{Backend, PoolMembers, Service};
 use hop::ServerLoad;
-use ids::{FastMap, ServerId, ServiceId, VmId};
-use route::{Candidate, Distance, LatencyQuantile, RetryBudget, choose_server};
+use ids::{FastMap, Percent, ServerId, ServiceId, VmId};
+use route::{Candidate, Distance, LatencyQuantile, RetryBudget, choose_server, keep_floor};
 
 use crate::{link::LinkPool, settings::LiveSettings, task::TaskGroup, view::FleetView};
 
@@ -276,14 +276,19 @@
             !tried && !state.is_silent() && !state.is_failing(repeatable)
         };
         let sound: Vec<&Arc<ServerState>> = states.iter().filter(fresh).copied().collect();
-        if let Some(server) = choose_among(sound, far) {
+        let rules = PoolRules {
+            size: states.len(),
+            floor: self.service.floor,
+            far,
+        };
+        if let Some(server) = choose_among(sound, rules) {
             return Some(Choice {
                 server,
                 forced: false,
             });
         }
         let failing = |state: &&Arc<ServerState>| state.is_failing(false) || state.is_silent();
-        let server = choose_among(states.into_iter().filter(failing).collect(), far)?;
+        let server = choose_among(states.into_iter().filter(failing).collect(), rules)?;
         Some(Choice {
             server,
             forced: true,
@@ -309,14 +314,26 @@
     pub forced: bool,
 }
 
+/// What holds for a choice in a pool.
+#[derive(Clone, Copy, Debug)]
+struct PoolRules {
+    /// Servers of the pool.
+    size: usize,
+    /// Share that stays in rotation.
+    floor: Percent,
+    /// Delay that a server in another zone must save.
+    far: Duration,
+}
+
 /// Chooses one of several by expected delay.
-fn choose_among(mut states: Vec<&Arc<ServerState>>, far: Duration) -> Option<Arc<ServerState>> {
+fn choose_among(mut states: Vec<&Arc<ServerState>>, rules: PoolRules) -> Option<Arc<ServerState>> {
     // One that leaves is asked only if there is no other.
     if states.iter().any(|state| !state.is_resting()) {
         states.retain(|state| !state.is_resting());
     }
-    let candidates: Vec<Candidate> = states.iter().map(|state| state.candidate()).collect();
-    let place = choose_server(&candidates, [rand::random(), rand::random()], far)?;
+    let mut candidates: Vec<Candidate> = states.iter().map(|state| state.candidate()).collect();
+    keep_floor(&mut candidates, rules.size, rules.floor);
+    let place = choose_server(&candidates, [rand::random(), rand::random()], rules.far)?;
     Some(Arc::clone(states[place]))
 }
 
