--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -20,6 +20,7 @@
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout},
@@ -34,6 +35,12 @@
 /// Time for a new connection. A connection takes about 1 ms on the networks
 /// in view; one lost SYN is repeated after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Idle time after which a connection is probed, time between probes, and
+/// probes without an answer after which it is dead.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 3;
+/// Time for which sent bytes may stay unacknowledged.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle connections that are kept for each address.
 const MAX_IDLE: usize = 64;
 /// Time after which an idle connection is closed: before the other side
@@ -211,7 +218,9 @@
             Ok(Err(error)) => return Err(LinkError::Unsent(error.to_string())),
             Err(_) => return Err(LinkError::Unsent("no connection in time".to_owned())),
         };
-        let _ = stream.set_nodelay(true);
+        if let Err(error) = watch_silence(&stream) {
+            log::warn!("link: connection to {} is not watched: {error}.", self.address);
+        }
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
             handshake.map_err(|error| LinkError::Unsent(error.to_string()))?;
@@ -278,6 +287,19 @@
     }
 }
 
+/// Makes a connection that has gone silent fail: nothing else shows it while
+/// an answer is waited for.
+fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_RETRIES);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
 /// Why a connection did not give an answer.
 enum SendFailure {
     /// The request was not sent and is given back.
