Refuse settings with a field that stands twice; check SETTINGS

Cause: the last of two fields of one name won without a word. Change: parse_document names the second one with its line. check takes one settings file, too. A test sends SIGHUP to a process under load.

--- a/crates/config/src/jsonc.rs
+++ b/crates/config/src/jsonc.rs
@@ -1,5 +1,6 @@
 //! JSON with comments, with the line of each fault.
 
+use ids::FastSet;
 use jsonc_parser::{
     ParseOptions,
     ast::{ObjectPropName, Value},
@@ -42,6 +43,14 @@
         field: String::new(),
         message: format!("{}; correct the JSON here", error.kind()),
     })?;
+    if let Some((name, offset)) = repeated_name(text) {
+        return Err(DocFault {
+            file: file.to_owned(),
+            line: line_at(text, offset),
+            field: name,
+            message: "stands twice in one object; remove one".to_owned(),
+        });
+    }
     serde_path_to_error::deserialize(value).map_err(|error| DocFault {
         file: file.to_owned(),
         line: line_of(text, &steps_of(error.path())),
@@ -50,6 +59,41 @@
     })
 }
 
+/// The first property that stands twice in its object, with its byte offset.
+///
+/// The parser takes the last one without a word.
+fn repeated_name(text: &str) -> Option<(String, usize)> {
+    let collect = jsonc_parser::CollectOptions::default();
+    let parsed = jsonc_parser::parse_to_ast(text, &collect, &parse_options());
+    repeated_in(&parsed.ok()?.value?)
+}
+
+/// The first property of a value that stands twice.
+fn repeated_in(value: &Value<'_>) -> Option<(String, usize)> {
+    match value {
+        Value::Object(object) => {
+            let mut seen = FastSet::default();
+            object.properties.iter().find_map(|prop| {
+                let name = prop_name(prop);
+                match seen.insert(name) {
+                    true => repeated_in(&prop.value),
+                    false => Some((name.to_owned(), prop.range().start)),
+                }
+            })
+        }
+        Value::Array(array) => array.elements.iter().find_map(repeated_in),
+        _ => None,
+    }
+}
+
+/// Name of a property.
+fn prop_name<'a>(prop: &'a jsonc_parser::ast::ObjectProp<'_>) -> &'a str {
+    match &prop.name {
+        ObjectPropName::String(text) => &text.value,
+        ObjectPropName::Word(word) => word.value,
+    }
+}
+
 /// A step from a JSON value into a part of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Step {
@@ -88,10 +132,7 @@
     };
     match (value, first) {
         (Value::Object(object), Step::Name(name)) => {
-            let named = |prop: &&jsonc_parser::ast::ObjectProp<'_>| match &prop.name {
-                ObjectPropName::String(text) => text.value == name.as_str(),
-                ObjectPropName::Word(word) => word.value == name.as_str(),
-            };
+            let named = |prop: &&jsonc_parser::ast::ObjectProp<'_>| prop_name(prop) == name;
             match object.properties.iter().find(named) {
                 Some(prop) if rest.is_empty() => prop.range().start,
                 Some(prop) => offset_of(&prop.value, rest),
--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -219,7 +219,10 @@
             Err(_) => return Err(LinkError::Unsent("no connection in time".to_owned())),
         };
         if let Err(error) = watch_silence(&stream) {
-            log::warn!("link: connection to {} is not watched: {error}.", self.address);
+            log::warn!(
+                "link: connection to {} is not watched: {error}.",
+                self.address
+            );
         }
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -12,6 +12,11 @@
         /// File with its settings.
         settings: PathBuf,
     },
+    /// Check a settings file.
+    CheckSettings {
+        /// The file.
+        settings: PathBuf,
+    },
     /// Check what would be published.
     Check {
         /// File with the inventory.
@@ -69,6 +74,7 @@
 
 Commands:
     run SETTINGS            run the daemon of this VM
+    check SETTINGS          check the settings of a daemon
     check INVENTORY RULES   check what would be published; print every fault
     pack [OLD] NEW OUT      make the values to publish: NEW holds inventory.json
                             and rules.json, OLD the set published before, OUT
@@ -124,6 +130,9 @@
         ["run", settings] => Command::Run {
             settings: settings.into(),
         },
+        ["check", settings] => Command::CheckSettings {
+            settings: settings.into(),
+        },
         ["check", inventory, rules] => Command::Check {
             inventory: inventory.into(),
             rules: rules.into(),
--- a/src/main.rs
+++ b/src/main.rs
@@ -37,6 +37,7 @@
 fn run_command(command: Command) -> Result<(), commands::CommandError> {
     match command {
         Command::Run { settings } => run::run(&settings),
+        Command::CheckSettings { settings } => run::check(&settings),
         Command::Check { inventory, rules } => commands::check(&inventory, &rules),
         Command::Pack { old, new, out } => commands::pack(old.as_deref(), &new, &out),
         Command::Dump { address } => commands::dump(address),
--- a/src/run.rs
+++ b/src/run.rs
@@ -33,6 +33,13 @@
     start_runtime(settings.budgets.threads)?.block_on(run_daemon(settings, file))
 }
 
+/// `check SETTINGS`: prints the first fault of a settings file.
+pub fn check(path: &Path) -> Result<(), CommandError> {
+    let settings = parse(path, &read_text(path)?)?;
+    println!("good: settings of VM {}", settings.vm);
+    Ok(())
+}
+
 /// Reads settings.
 fn parse(path: &Path, text: &str) -> Result<Settings, CommandError> {
     Settings::parse(&path.display().to_string(), text)
--- a/tests/separate_processes.rs
+++ b/tests/separate_processes.rs
@@ -229,6 +229,30 @@
     fleet.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn hangup_under_load() {
+    // SIGHUP reads the settings again; it must not end the process nor cut
+    // what it serves.
+    let mut fleet = ProcessFleet::start().await;
+    let over = AtomicBool::new(false);
+    let hangup = async {
+        fleet.wait_for_traffic(2).await;
+        for _ in 0..5 {
+            fleet.daemons[2].signal("HUP");
+            sleep(Duration::from_millis(100)).await;
+        }
+        fleet.wait_until_served(2).await;
+        over.store(true, Ordering::Relaxed);
+    };
+    let (unknown, ()) = tokio::join!(fleet.book_until(&over), hangup);
+    assert_eq!(unknown, 0);
+    let mut last = fleet.daemons.pop().unwrap();
+    last.signal("TERM");
+    let ended = tokio::task::spawn_blocking(move || last.wait()).await;
+    assert!(ended.unwrap(), "it was still the same process");
+    fleet.stop().await;
+}
+
 /// Runs the binary and gives exit code and both outputs.
 fn run(args: &[&str]) -> (i32, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_dogwoodshore"))
@@ -253,6 +277,7 @@
 #[test_case(&["run", "/nowhere.json"], 1, "correct the path")]
 #[test_case(&["check", "examples/hangsor/inventory.json", "examples/hangsor/rules.json"], 0, "good")]
 #[test_case(&["check", "examples/coulee/inventory.json", "examples/coulee/rules.json"], 0, "good")]
+#[test_case(&["check", "examples/settings.json"], 1, "secret"; "settings without their secret file")]
 #[test_case(&["check", "examples/hangsor/rules.json", "examples/hangsor/rules.json"], 1, "unknown field `accounts`")]
 fn command_line(args: &[&str], code: i32, text: &str) {
     let (found, output) = run(args);
@@ -280,6 +305,8 @@
 #[test_case(r#""secret": "short""#, "secret: too short"; "short secret")]
 #[test_case(r#""secret": "a secret for tests only", "colour": 1"#, "unknown field `colour`"; "unknown field")]
 #[test_case(r#""secret": "a secret for tests only", "budgets": { "connections": 0 }"#, "must be 1 to 1000000"; "no connections")]
+#[test_case(r#""secret": "a secret for tests only", "log": { "level": "info", "level": "warn" }"#, "stands twice"; "repeated field")]
+#[test_case(r#""secret": "a secret for tests only", "policy": { "floor_share": 1.5 }"#, "policy.floor_share: must be 0 to 1"; "odd share")]
 #[test_case(r#""secret_file": "/nowhere""#, "correct the path"; "secret file missing")]
 #[test_case(r#""secret": "a secret for tests only", "log": { "level": "loud" }"#, "unknown variant `loud`"; "unknown level")]
 fn settings_fault(field: &str, text: &str) {
