Tests of separate processes: one zone, so that all servers get traffic

Cause: terminated_under_load failed in a fresh clone with 'no traffic': since daemons use the servers of their own zone first, the third server got requests by chance only. Ruled out: the shutdown itself; it was never reached. Change: the three daemons stand in one zone, as in the test of hints; what the tests ask is unchanged.

--- a/tests/separate_processes.rs
+++ b/tests/separate_processes.rs
@@ -28,6 +28,9 @@
 /// Time for which a process stands still.
 const PAUSE: Duration = Duration::from_secs(6);
 
+/// Availability zones of the fleet.
+const ZONES: usize = 1;
+
 /// Three daemons as processes, with a backend server beside each.
 struct ProcessFleet {
     platform: PlatformStub,
@@ -46,8 +49,10 @@
             backends.push(BackendStub::start(any, "break plan").await.unwrap());
         }
         let addresses: Vec<FreeAddresses> = (0..3).map(|_| FreeAddresses::find()).collect();
+        // In one zone: a daemon uses the servers of its own zone first, and the
+        // tests want traffic at all of them.
         let shape = DeploymentShape {
-            zones: 3,
+            zones: ZONES,
             daemons: addresses.iter().map(|addresses| addresses.peer).collect(),
             services: vec![ServiceShape {
                 name: "plans".to_owned(),
@@ -60,7 +65,7 @@
         platform.publish_vms(&deployment.vms);
         platform.publish(&publish_set(None, &deployment.records).unwrap());
         let start = |(index, addresses): (usize, &FreeAddresses)| {
-            DaemonProcess::start(index, 3, *addresses, platform.address(), SECRET)
+            DaemonProcess::start(index, ZONES, *addresses, platform.address(), SECRET)
         };
         let fleet = Self {
             daemons: addresses.iter().enumerate().map(start).collect(),
