Remember committed offers while they run, and tell lives of an egress apart

An egress forgot a committed offer 8 s after its commit, so a request that ran for longer was reported as never come at the next check, and its ingress ran it again. The same came of a check that reached the process which followed a killed one: it knew no offers and vouched for all.

Change: a committed offer is remembered until its deadline and 8 s more; grants name the life of the egress, checks repeat it, and another life answers that it does not know. Frames are version 2.

Also: a failing server is offered a request only if no other offer is open.

--- a/crates/hop/src/book.rs
+++ b/crates/hop/src/book.rs
@@ -8,13 +8,14 @@
 
 use ids::{FastMap, MonoTime, VmId};
 
-use crate::OfferId;
+use crate::{EgressLife, OfferId};
 
 /// Time for which a granted slot waits for its request: some round trips and
 /// a turn of a busy process.
 const GRANT_TIME: Duration = Duration::from_millis(250);
-/// Time for which ended offers are remembered: longer than a datagram or a
-/// check of the ingress may be on its way.
+/// Time for which ended offers, and committed ones past their deadline, are
+/// remembered: longer than a datagram or a check of the ingress may be on its
+/// way.
 const REMEMBER: Duration = Duration::from_secs(8);
 /// Time between clean-ups of ended offers.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
@@ -33,7 +34,7 @@
 enum OfferState<W, G> {
     Waiting(W),
     Granted { held: G, until: MonoTime },
-    Committed { at: MonoTime },
+    Committed { until: MonoTime },
     Ended { at: MonoTime },
 }
 
@@ -50,27 +51,35 @@
     Committed,
     /// It was refused, withdrawn or lapsed, and will never run.
     Ended,
+    /// An earlier life granted it, so its request may have run.
+    Forgotten,
 }
 
 /// All offers at one egress.
 #[derive(Clone, Debug)]
 pub struct OfferBook<W, G> {
+    life: EgressLife,
     offers: FastMap<OfferKey, OfferState<W, G>>,
     swept: MonoTime,
 }
 
-impl<W, G> Default for OfferBook<W, G> {
-    fn default() -> Self {
+impl<W, G> OfferBook<W, G> {
+    /// Time after a grant at which [`OfferBook::expire`] is due.
+    pub const GRANT_TIME: Duration = GRANT_TIME;
+
+    /// A book without offers, of one life of the egress.
+    pub fn new(life: EgressLife) -> Self {
         Self {
+            life,
             offers: FastMap::default(),
             swept: MonoTime::ZERO,
         }
     }
-}
 
-impl<W, G> OfferBook<W, G> {
-    /// Time after a grant at which [`OfferBook::expire`] is due.
-    pub const GRANT_TIME: Duration = GRANT_TIME;
+    /// The life of the egress that grants offers here.
+    pub fn life(&self) -> EgressLife {
+        self.life
+    }
 
     /// Takes an offer; a new one waits from now on, by what `wait` gives.
     pub fn offer(&mut self, now: MonoTime, key: OfferKey, wait: impl FnOnce() -> W) -> OfferAnswer {
@@ -115,12 +124,27 @@
         state.answer(now)
     }
 
-    /// The request of a granted offer has come: gives its slot.
+    /// What became of an offer that was granted in `life`, and whose request
+    /// was sent. If it has not come yet, it never will run.
+    pub fn check(&mut self, now: MonoTime, key: OfferKey, life: EgressLife) -> OfferAnswer {
+        match life == self.life {
+            true => self.withdraw(now, key),
+            false => OfferAnswer::Forgotten,
+        }
+    }
+
+    /// The request of a granted offer has come: gives its slot. It runs until
+    /// `deadline` at most, and is remembered for longer than that.
     ///
     /// # Errors
     ///
     /// The state of an offer that holds no slot; its request must not run.
-    pub fn commit(&mut self, now: MonoTime, key: &OfferKey) -> Result<G, OfferAnswer> {
+    pub fn commit(
+        &mut self,
+        now: MonoTime,
+        key: &OfferKey,
+        deadline: MonoTime,
+    ) -> Result<G, OfferAnswer> {
         let Some(state) = self.offers.get_mut(key) else {
             let ended = OfferState::Ended { at: now };
             self.offers.insert(key.clone(), ended);
@@ -134,7 +158,8 @@
                 return Err(other);
             }
         }
-        match std::mem::replace(state, OfferState::Committed { at: now }) {
+        let until = deadline.max(now) + REMEMBER;
+        match std::mem::replace(state, OfferState::Committed { until }) {
             OfferState::Granted { held, .. } => Ok(held),
             _ => Err(OfferAnswer::Ended),
         }
@@ -166,7 +191,8 @@
         }
         self.swept = now;
         self.offers.retain(|_, state| match state {
-            OfferState::Committed { at } | OfferState::Ended { at } => now.since(*at) < REMEMBER,
+            OfferState::Committed { until } => now < *until,
+            OfferState::Ended { at } => now.since(*at) < REMEMBER,
             _ => true,
         });
     }
--- a/crates/hop/src/lib.rs
+++ b/crates/hop/src/lib.rs
@@ -15,5 +15,5 @@
 mod search;
 
 pub use book::{OfferAnswer, OfferBook, OfferKey};
-pub use message::{HopMessage, NotRun, OfferId, OfferJob, OfferReply, ServerLoad};
+pub use message::{EgressLife, HopMessage, NotRun, OfferId, OfferJob, OfferReply, ServerLoad};
 pub use search::{SearchAction, SearchEvent, SearchOptions, SlotSearch};
--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -17,6 +17,16 @@
     }
 }
 
+/// One life of an egress, by a random number: a new process has another.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct EgressLife(pub u32);
+
+impl fmt::Display for EgressLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 /// Why an egress did not run a request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub enum NotRun {
@@ -109,12 +119,15 @@
 pub enum OfferReply {
     /// It waits for a slot.
     Waiting(ServerLoad),
-    /// It holds a slot, for a short time.
-    Granted,
+    /// It holds a slot, for a short time, in this life of the egress.
+    Granted(EgressLife),
     /// It was not and will not be run.
     Refused(NotRun, ServerLoad),
     /// Its request was committed and is, or was, at the backend server.
     Committed,
+    /// It was granted in an earlier life of the egress, which may have run its
+    /// request.
+    Forgotten,
 }
 
 /// A message between ingress and egress.
@@ -138,6 +151,8 @@
     Check {
         /// Its number.
         offer: OfferId,
+        /// The life of the egress that granted it.
+        life: EgressLife,
     },
     /// An egress says what has become of an offer.
     Reply {
--- a/crates/hop/src/search.rs
+++ b/crates/hop/src/search.rs
@@ -10,7 +10,7 @@
 
 use ids::MonoTime;
 
-use crate::{NotRun, OfferId, OfferReply};
+use crate::{EgressLife, NotRun, OfferId, OfferReply};
 
 /// Time without an answer after which an offer is sent again.
 const REPEAT_AFTER: Duration = Duration::from_millis(25);
@@ -50,16 +50,24 @@
 /// What a search wants done.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SearchAction {
-    /// Offer the request to a server that was not asked yet.
-    Offer(OfferId),
+    /// Offer the request to a server that was not asked yet. Only as a last
+    /// resort, with no other offer open, may it be one that is taken for
+    /// failing: that has no queue, so it would win against every sound one.
+    Offer {
+        /// Its number.
+        id: OfferId,
+        /// Whether no other offer is open.
+        last_resort: bool,
+    },
     /// Send an offer again.
     Repeat(OfferId),
     /// Take an offer back.
     Withdraw(OfferId),
     /// The daemon that the offer was made to does not answer.
     NoteSilent(OfferId),
-    /// Send the request to the server that granted the offer.
-    Commit(OfferId),
+    /// Send the request to the server that granted the offer, in this life of
+    /// its egress.
+    Commit(OfferId, EgressLife),
     /// There is no slot; nothing has run.
     Fail(Option<NotRun>),
 }
@@ -106,7 +114,6 @@
     options: SearchOptions,
     open: Vec<OpenOffer>,
     made: usize,
-    exhausted: bool,
     reason: Option<NotRun>,
     next_id: u64,
     done: bool,
@@ -120,7 +127,6 @@
             options,
             open: Vec::with_capacity(MOST_WAITING),
             made: 0,
-            exhausted: false,
             reason: None,
             next_id: first_id.0,
             done: false,
@@ -135,11 +141,7 @@
             _ if now >= self.options.deadline => self.fail(Some(NotRun::Expired), &mut actions),
             SearchEvent::Start => self.make_offer(now, &mut actions),
             SearchEvent::Reply(id, reply) => self.take_reply(now, id, reply, &mut actions),
-            SearchEvent::NoServer(id) => {
-                self.exhausted = true;
-                self.open.retain(|offer| offer.id != id);
-                self.fail_if_empty(&mut actions);
-            }
+            SearchEvent::NoServer(id) => self.drop_offer(id, &mut actions),
             SearchEvent::Tick => self.tick(now, &mut actions),
         }
         actions
@@ -167,7 +169,7 @@
     ) {
         let Some(place) = self.open.iter().position(|offer| offer.id == id) else {
             // A grant of an offer that was given up must not hold its slot.
-            if reply == OfferReply::Granted {
+            if let OfferReply::Granted(_) = reply {
                 actions.push(SearchAction::Withdraw(id));
             }
             return;
@@ -177,11 +179,11 @@
                 self.open[place].heard = Some(now);
                 self.open[place].silent = false;
             }
-            OfferReply::Granted => {
+            OfferReply::Granted(life) => {
                 self.open.swap_remove(place);
                 self.withdraw_all(actions);
                 self.done = true;
-                actions.push(SearchAction::Commit(id));
+                actions.push(SearchAction::Commit(id, life));
             }
             OfferReply::Refused(reason, _) => {
                 self.open.swap_remove(place);
@@ -189,7 +191,7 @@
                 self.go_on(now, actions);
             }
             // It was committed by nobody here; its number is not ours.
-            OfferReply::Committed => {
+            OfferReply::Committed | OfferReply::Forgotten => {
                 self.open.swap_remove(place);
                 self.go_on(now, actions);
             }
@@ -245,12 +247,13 @@
     fn may_offer(&self) -> bool {
         let waiting = self.open.iter().filter(|offer| !offer.silent).count();
         let room = waiting < MOST_WAITING && self.made < self.options.most_offers;
-        room && !self.exhausted && !self.done
+        room && !self.done
     }
 
     /// Makes an offer.
     fn make_offer(&mut self, now: MonoTime, actions: &mut Vec<SearchAction>) {
         let id = OfferId(self.next_id);
+        let last_resort = self.open.is_empty();
         self.next_id = self.next_id.wrapping_add(1);
         self.made += 1;
         self.open.push(OpenOffer {
@@ -261,7 +264,18 @@
             tied: false,
             silent: false,
         });
-        actions.push(SearchAction::Offer(id));
+        actions.push(SearchAction::Offer { id, last_resort });
+    }
+
+    /// There was no server for an offer. The others go on, and their end is
+    /// the next occasion to ask.
+    fn drop_offer(&mut self, id: OfferId, actions: &mut Vec<SearchAction>) {
+        self.open.retain(|offer| offer.id != id);
+        self.made -= 1;
+        for offer in &mut self.open {
+            offer.tied = true;
+        }
+        self.fail_if_empty(actions);
     }
 
     /// Fails if nobody is asked any more.
--- a/crates/hop/tests/offer_book.rs
+++ b/crates/hop/tests/offer_book.rs
@@ -1,11 +1,15 @@
 //! Offers at an egress: granted once, committed once, dead afterwards.
 
-use hop::{OfferAnswer, OfferBook, OfferId, OfferKey};
+use hop::{EgressLife, OfferAnswer, OfferBook, OfferId, OfferKey};
 use ids::MonoTime;
 use proptest::prelude::*;
 
 type Book = OfferBook<(), u32>;
 
+const LIFE: EgressLife = EgressLife(7);
+/// When the requests of most tests must have ended, in milliseconds.
+const DEADLINE: u64 = 3_000;
+
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
 }
@@ -19,7 +23,7 @@
 
 /// A book with a granted offer 1.
 fn granted() -> Book {
-    let mut book = Book::default();
+    let mut book = Book::new(LIFE);
     assert_eq!(book.offer(at(10), key(1), || ()), OfferAnswer::New);
     assert_eq!(book.grant(at(20), &key(1), 7), Ok(()));
     book
@@ -28,23 +32,32 @@
 #[test]
 fn committed_once() {
     let mut book = granted();
-    assert_eq!(book.commit(at(25), &key(1)), Ok(7));
-    assert_eq!(book.commit(at(26), &key(1)), Err(OfferAnswer::Committed));
+    assert_eq!(book.commit(at(25), &key(1), at(DEADLINE)), Ok(7));
+    assert_eq!(
+        book.commit(at(26), &key(1), at(DEADLINE)),
+        Err(OfferAnswer::Committed)
+    );
     assert_eq!(book.withdraw(at(27), key(1)), OfferAnswer::Committed);
 }
 
 #[test]
 fn late_request_is_refused() {
     let mut book = granted();
-    assert_eq!(book.commit(at(1_000), &key(1)), Err(OfferAnswer::Ended));
+    assert_eq!(
+        book.commit(at(1_000), &key(1), at(DEADLINE)),
+        Err(OfferAnswer::Ended)
+    );
     // Also after another copy of the offer.
     assert_eq!(book.offer(at(1_010), key(1), || ()), OfferAnswer::Ended);
-    assert_eq!(book.commit(at(1_020), &key(1)), Err(OfferAnswer::Ended));
+    assert_eq!(
+        book.commit(at(1_020), &key(1), at(DEADLINE)),
+        Err(OfferAnswer::Ended)
+    );
 }
 
 #[test]
 fn withdrawn_grant_goes_back() {
-    let mut book = Book::default();
+    let mut book = Book::new(LIFE);
     book.offer(at(10), key(1), || ());
     assert_eq!(book.withdraw(at(11), key(1)), OfferAnswer::Ended);
     assert_eq!(book.grant(at(20), &key(1), 7), Err(7));
@@ -52,7 +65,7 @@
 
 #[test]
 fn withdrawal_overtakes() {
-    let mut book = Book::default();
+    let mut book = Book::new(LIFE);
     assert_eq!(book.withdraw(at(10), key(1)), OfferAnswer::Ended);
     assert_eq!(book.offer(at(11), key(1), || ()), OfferAnswer::Ended);
 }
@@ -60,8 +73,11 @@
 #[test]
 fn request_without_offer() {
     // The daemon restarted between grant and commit.
-    let mut book = Book::default();
-    assert_eq!(book.commit(at(10), &key(1)), Err(OfferAnswer::Ended));
+    let mut book = Book::new(LIFE);
+    assert_eq!(
+        book.commit(at(10), &key(1), at(DEADLINE)),
+        Err(OfferAnswer::Ended)
+    );
     assert_eq!(book.offer(at(11), key(1), || ()), OfferAnswer::Ended);
 }
 
@@ -74,6 +90,33 @@
     assert_eq!(book.len(), 1);
 }
 
+#[test]
+fn long_run_is_remembered() {
+    // Pattern: a request runs for longer than ended offers are remembered, and
+    // its ingress asks again and again. Told that it never came, the ingress
+    // would run it a second time.
+    let mut book = granted();
+    assert_eq!(book.commit(at(25), &key(1), at(20_000)), Ok(7));
+    for second in 1..27 {
+        let now = at(second * 1_000);
+        // Other offers come and have what ended long ago swept.
+        book.offer(now, key(100 + second), || ());
+        assert_eq!(book.check(now, key(1), LIFE), OfferAnswer::Committed);
+    }
+}
+
+#[test]
+fn earlier_life_is_not_vouched_for() {
+    // Pattern: the daemon is killed while its server runs a request, and the
+    // check of the ingress reaches the next process.
+    let mut book = Book::new(EgressLife(8));
+    assert_eq!(book.check(at(10), key(1), LIFE), OfferAnswer::Forgotten);
+    assert_eq!(
+        book.check(at(11), key(1), EgressLife(8)),
+        OfferAnswer::Ended
+    );
+}
+
 /// A step at the book.
 #[derive(Clone, Debug)]
 enum Step {
@@ -111,7 +154,7 @@
     /// after its ingress was told that it did not.
     #[test]
     fn runs_at_most_once(steps in steps()) {
-        let mut book = Book::default();
+        let mut book = Book::new(LIFE);
         let mut now = 10;
         let mut runs = [0; 4];
         let mut told_not_run = [false; 4];
@@ -129,7 +172,7 @@
                     let answer = book.withdraw(at(now), key(id));
                     told_not_run[id as usize] |= answer == OfferAnswer::Ended;
                 }
-                Step::Commit(id) => match book.commit(at(now), &key(id)) {
+                Step::Commit(id) => match book.commit(at(now), &key(id), at(DEADLINE)) {
                     Ok(_) => {
                         runs[id as usize] += 1;
                         prop_assert!(!told_not_run[id as usize]);
--- a/crates/hop/tests/slot_search.rs
+++ b/crates/hop/tests/slot_search.rs
@@ -1,7 +1,8 @@
 //! The search for a slot: repeated, tied, withdrawn, never committed twice.
 
 use hop::{
-    NotRun, OfferId, OfferReply, SearchAction, SearchEvent, SearchOptions, ServerLoad, SlotSearch,
+    EgressLife, NotRun, OfferId, OfferReply, SearchAction, SearchEvent, SearchOptions, ServerLoad,
+    SlotSearch,
 };
 use ids::MonoTime;
 
@@ -9,6 +10,22 @@
     MonoTime::from_millis(millis)
 }
 
+/// An offer beside another one that is open.
+fn offer(id: u64) -> SearchAction {
+    SearchAction::Offer {
+        id: OfferId(id),
+        last_resort: false,
+    }
+}
+
+/// An offer while no other one is open.
+fn last_resort(id: u64) -> SearchAction {
+    SearchAction::Offer {
+        id: OfferId(id),
+        last_resort: true,
+    }
+}
+
 fn search() -> SlotSearch {
     let options = SearchOptions {
         deadline: at(3_000),
@@ -16,7 +33,7 @@
     };
     let mut search = SlotSearch::new(options, OfferId(0));
     let actions = search.handle(at(0), SearchEvent::Start);
-    assert_eq!(actions, [SearchAction::Offer(OfferId(0))]);
+    assert_eq!(actions, [last_resort(0)]);
     search
 }
 
@@ -25,7 +42,7 @@
 }
 
 fn granted(id: u64) -> SearchEvent {
-    SearchEvent::Reply(OfferId(id), OfferReply::Granted)
+    SearchEvent::Reply(OfferId(id), OfferReply::Granted(EgressLife(7)))
 }
 
 fn refused(id: u64, reason: NotRun) -> SearchEvent {
@@ -39,7 +56,7 @@
 fn granted_at_once() {
     let mut search = search();
     let actions = search.handle(at(1), granted(0));
-    assert_eq!(actions, [SearchAction::Commit(OfferId(0))]);
+    assert_eq!(actions, [SearchAction::Commit(OfferId(0), EgressLife(7))]);
 }
 
 #[test]
@@ -48,16 +65,13 @@
     let actions = search.handle(at(26), SearchEvent::Tick);
     assert_eq!(actions, [SearchAction::Repeat(OfferId(0))]);
     let actions = search.handle(at(41), SearchEvent::Tick);
-    let expected = [
-        SearchAction::NoteSilent(OfferId(0)),
-        SearchAction::Offer(OfferId(1)),
-    ];
+    let expected = [SearchAction::NoteSilent(OfferId(0)), offer(1)];
     assert_eq!(actions, expected);
     // The silent one may still be first; the other is withdrawn then.
     let actions = search.handle(at(45), granted(0));
     let expected = [
         SearchAction::Withdraw(OfferId(1)),
-        SearchAction::Commit(OfferId(0)),
+        SearchAction::Commit(OfferId(0), EgressLife(7)),
     ];
     assert_eq!(actions, expected);
 }
@@ -97,12 +111,12 @@
     let mut search = search();
     assert_eq!(search.handle(at(1), waiting(0)), []);
     let actions = search.handle(at(16), SearchEvent::Tick);
-    assert_eq!(actions, [SearchAction::Offer(OfferId(1))]);
+    assert_eq!(actions, [offer(1)]);
     assert_eq!(search.handle(at(17), waiting(1)), []);
     let actions = search.handle(at(300), granted(1));
     let expected = [
         SearchAction::Withdraw(OfferId(0)),
-        SearchAction::Commit(OfferId(1)),
+        SearchAction::Commit(OfferId(1), EgressLife(7)),
     ];
     assert_eq!(actions, expected);
 }
@@ -111,9 +125,9 @@
 fn refusals_move_on() {
     let mut search = search();
     let actions = search.handle(at(1), refused(0, NotRun::Failing));
-    assert_eq!(actions, [SearchAction::Offer(OfferId(1))]);
+    assert_eq!(actions, [last_resort(1)]);
     let actions = search.handle(at(2), refused(1, NotRun::Overloaded));
-    assert_eq!(actions, [SearchAction::Offer(OfferId(2))]);
+    assert_eq!(actions, [last_resort(2)]);
     let actions = search.handle(at(3), SearchEvent::NoServer(OfferId(2)));
     assert_eq!(actions, [SearchAction::Fail(Some(NotRun::Overloaded))]);
 }
@@ -147,7 +161,7 @@
     while now < at(150) {
         now = search.next_tick();
         for action in search.handle(now, SearchEvent::Tick) {
-            if let SearchAction::Offer(id) = action {
+            if let SearchAction::Offer { id, .. } = action {
                 asked.push((id, now));
             }
         }
@@ -163,10 +177,31 @@
     let mut search = search();
     search.handle(at(1), waiting(0));
     let actions = search.handle(at(16), SearchEvent::Tick);
-    assert_eq!(actions, [SearchAction::Offer(OfferId(1))]);
+    assert_eq!(actions, [offer(1)]);
     assert_eq!(search.handle(at(17), refused(1, NotRun::Failing)), []);
     let next = search.next_tick();
     assert!(next <= at(20), "{next}");
     let actions = search.handle(next.max(at(18)), SearchEvent::Tick);
-    assert_eq!(actions, [SearchAction::Offer(OfferId(2))]);
+    assert_eq!(actions, [offer(2)]);
+}
+
+#[test]
+fn waiting_offer_is_no_last_resort() {
+    // Pattern: a small pool under overload, of which some servers fail. They
+    // have no queue and would grant at once, so a request that waits at a sound
+    // server must not be forced on them.
+    let mut search = search();
+    search.handle(at(1), waiting(0));
+    let actions = search.handle(at(16), SearchEvent::Tick);
+    assert_eq!(actions, [offer(1)]);
+    assert_eq!(search.handle(at(16), SearchEvent::NoServer(OfferId(1))), []);
+    // It goes on waiting, and asks again only once it is refused.
+    for millis in [20, 60, 120] {
+        let actions = search.handle(at(millis), SearchEvent::Tick);
+        assert!(!actions.contains(&offer(2)), "{actions:?}");
+    }
+    let actions = search.handle(at(130), refused(0, NotRun::Failing));
+    assert_eq!(actions, [last_resort(2)]);
+    let actions = search.handle(at(131), SearchEvent::NoServer(OfferId(2)));
+    assert_eq!(actions, [SearchAction::Fail(Some(NotRun::Failing))]);
 }
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -11,7 +11,7 @@
 /// Largest frame, in bytes; fits one packet on usual networks.
 pub const MAX_FRAME_BYTES: usize = 1_400;
 /// Version of the frames.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// Bytes of the keyed hash.
 const HASH_BYTES: usize = 16;
 /// Context that separates frame hashes from other uses of the secret.
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -12,7 +12,9 @@
 use ids::{FastMap, FastSet, MonoTime, ServerId, VmId, Weight};
 use route::AttemptEnd;
 
-use hop::{OfferId, OfferJob, OfferReply, SearchAction, SearchEvent, SearchOptions, SlotSearch};
+use hop::{
+    EgressLife, OfferId, OfferJob, OfferReply, SearchAction, SearchEvent, SearchOptions, SlotSearch,
+};
 
 use crate::{
     body::{HeldBody, PrefixedBody, ProxyBody, full_body, hold_body},
@@ -117,9 +119,19 @@
     mutex.lock().unwrap_or_else(|poison| poison.into_inner())
 }
 
+/// Which servers an offer may go to beside the sound ones.
+#[derive(Clone, Copy, Debug)]
+struct OfferLimits {
+    /// One on probation.
+    may_canary: bool,
+    /// One that is taken for failing.
+    may_force: bool,
+}
+
 /// A slot that an egress holds for the request.
 struct GrantedSlot {
     offer: OfferId,
+    life: EgressLife,
     choice: Choice,
 }
 
@@ -224,8 +236,12 @@
             while let Some(event) = events.pop_front() {
                 for action in search.handle(clock.now(), event) {
                     match action {
-                        SearchAction::Offer(id) => {
-                            if !self.make_offer(offers, id, std::mem::take(&mut may_canary)) {
+                        SearchAction::Offer { id, last_resort } => {
+                            let limits = OfferLimits {
+                                may_canary: std::mem::take(&mut may_canary),
+                                may_force: last_resort,
+                            };
+                            if !self.make_offer(offers, id, limits) {
                                 events.push_back(SearchEvent::NoServer(id));
                             }
                         }
@@ -236,10 +252,14 @@
                             }
                         }
                         SearchAction::NoteSilent(id) => self.note_silent(id),
-                        SearchAction::Commit(id) => {
+                        SearchAction::Commit(id, life) => {
                             offers.remove(id);
                             if let Some(choice) = self.offers.remove(&id) {
-                                return Ok(GrantedSlot { offer: id, choice });
+                                return Ok(GrantedSlot {
+                                    offer: id,
+                                    life,
+                                    choice,
+                                });
                             }
                         }
                         SearchAction::Fail(reason) => return Err(reason),
@@ -266,9 +286,9 @@
 
     /// Offers the request to the best server that was not asked; false if
     /// there is none.
-    fn make_offer(&mut self, offers: &mut OpenOffers, id: OfferId, may_canary: bool) -> bool {
+    fn make_offer(&mut self, offers: &mut OpenOffers, id: OfferId, limits: OfferLimits) -> bool {
         let view = &self.ingress.view;
-        let canary = match may_canary {
+        let canary = match limits.may_canary {
             true => self.pool.choose_canary(view),
             false => None,
         };
@@ -287,7 +307,8 @@
                 tried.extend(lock(&self.source.ran_at).iter().cloned());
                 let chosen = self.pool.choose(view, &tried, wish);
                 // Two forced offers would repeat each other.
-                chosen.filter(|choice| !choice.forced || !self.forced)
+                let may_force = limits.may_force && !self.forced;
+                chosen.filter(|choice| !choice.forced || may_force)
             }
         };
         let Some(choice) = chosen else {
@@ -347,9 +368,9 @@
                 trail.note(server, format_args!("waiting {} ms", load.delay_us / 1_000));
             }
             OfferReply::Waiting(_) => {}
-            OfferReply::Granted => trail.note(server, "granted"),
+            OfferReply::Granted(_) => trail.note(server, "granted"),
             OfferReply::Refused(reason, _) => trail.note(server, reason),
-            OfferReply::Committed => {}
+            OfferReply::Committed | OfferReply::Forgotten => {}
         }
         match reply {
             OfferReply::Waiting(load) => choice.server.note_load(load, 0),
@@ -364,7 +385,7 @@
                 let mut shortest = lock(&self.source.shortest_wait);
                 *shortest = Some(shortest.map_or(wait, |other| other.min(wait)));
             }
-            OfferReply::Granted | OfferReply::Committed => {}
+            OfferReply::Granted(_) | OfferReply::Committed | OfferReply::Forgotten => {}
         }
     }
 
@@ -424,6 +445,9 @@
                         return AttemptResult::Ended(AttemptEnd::Moved, Some(reason));
                     }
                     OfferReply::Committed if id == slot.offer => unheard = 0,
+                    OfferReply::Forgotten if id == slot.offer => {
+                        return self.forgotten(slot);
+                    }
                     _ => {}
                 },
                 () = self.sleep_until(check_at), if is_peer => {
@@ -432,7 +456,7 @@
                         return AttemptResult::Ended(AttemptEnd::Lost, None);
                     }
                     unheard += 1;
-                    call.check(&server.backend.vm, slot.offer);
+                    call.check(&server.backend.vm, slot.offer, slot.life);
                     check_at = self.ingress.clock.now() + CHECK_EVERY * unheard;
                 }
             }
@@ -462,7 +486,7 @@
         let end = self.ingress.clock.now() + CHECK_WAIT;
         let lost = AttemptResult::Ended(AttemptEnd::Lost, None);
         for _ in 0..MOST_CHECKS {
-            call.check(&slot.vm(), slot.offer);
+            call.check(&slot.vm(), slot.offer, slot.life);
             let step = (self.ingress.clock.now() + CHECK_WAIT / MOST_CHECKS).min(end);
             loop {
                 tokio::select! {
@@ -472,6 +496,7 @@
                             return AttemptResult::Ended(AttemptEnd::Moved, Some(reason));
                         }
                         OfferReply::Committed if id == slot.offer => return lost,
+                        OfferReply::Forgotten if id == slot.offer => return self.forgotten(slot),
                         _ => {}
                     },
                     () = self.sleep_until(step) => break,
@@ -481,6 +506,14 @@
         lost
     }
 
+    /// The daemon has restarted since it granted the slot; nobody knows whether
+    /// the request ran.
+    fn forgotten(&self, slot: &GrantedSlot) -> AttemptResult {
+        let trail = &self.options().trail;
+        trail.note(&slot.choice.server.backend.id, "daemon restarted");
+        AttemptResult::Ended(AttemptEnd::Lost, None)
+    }
+
     /// Waits for a time.
     async fn sleep_until(&self, time: MonoTime) {
         tokio::time::sleep_until(self.ingress.clock.instant(time)).await;
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -16,7 +16,8 @@
 use config::Backend;
 use health::Counts;
 use hop::{
-    HopMessage, OfferAnswer, OfferBook, OfferId, OfferJob, OfferKey, OfferReply, ServerLoad,
+    EgressLife, HopMessage, OfferAnswer, OfferBook, OfferId, OfferJob, OfferKey, OfferReply,
+    ServerLoad,
 };
 use hyper::{Request, Response};
 use ids::{FastMap, ServerId, VmId};
@@ -66,7 +67,7 @@
     tasks: Arc<TaskGroup>,
     servers: ArcSwap<FastMap<ServerId, Arc<EgressServer>>>,
     draining: AtomicBool,
-    epoch: u32,
+    life: EgressLife,
     control: ControlSender,
     stall_timeout: Duration,
     codec: Arc<dyn EdgeCodec>,
@@ -83,17 +84,18 @@
         stall_timeout: Duration,
         codec: Arc<dyn EdgeCodec>,
     ) -> Self {
+        let life = EgressLife(rand::random());
         Self {
             view,
             clock,
             tasks,
             servers: ArcSwap::default(),
             draining: AtomicBool::new(false),
-            epoch: rand::random(),
+            life,
             control,
             stall_timeout,
             codec,
-            book: Mutex::default(),
+            book: Mutex::new(OfferBook::new(life)),
         }
     }
 
@@ -105,9 +107,11 @@
             HopMessage::Withdraw { offer } => {
                 self.book().withdraw(now, offer_key(from, offer));
             }
-            HopMessage::Check { offer } => {
-                let reply = match self.book().withdraw(now, offer_key(from, offer)) {
+            HopMessage::Check { offer, life } => {
+                let answer = self.book().check(now, offer_key(from, offer), life);
+                let reply = match answer {
                     OfferAnswer::Committed => OfferReply::Committed,
+                    OfferAnswer::Forgotten => OfferReply::Forgotten,
                     _ => OfferReply::Refused(NotRun::Lapsed, ServerLoad::default()),
                 };
                 port.send(from, HopMessage::Reply { offer, reply });
@@ -143,8 +147,9 @@
                 return;
             }
             OfferAnswer::Waiting => OfferReply::Waiting(load()),
-            OfferAnswer::Granted => OfferReply::Granted,
+            OfferAnswer::Granted => OfferReply::Granted(self.life),
             OfferAnswer::Committed => OfferReply::Committed,
+            OfferAnswer::Forgotten => OfferReply::Forgotten,
             OfferAnswer::Ended => OfferReply::Refused(NotRun::Lapsed, load()),
         };
         port.send(from, HopMessage::Reply { offer, reply });
@@ -181,7 +186,7 @@
                 if granted.is_err() {
                     return;
                 }
-                tell(OfferReply::Granted);
+                tell(OfferReply::Granted(self.life));
                 tokio::time::sleep(OfferDesk::GRANT_TIME).await;
                 self.book().expire(self.clock.now());
             }
@@ -232,7 +237,7 @@
         let now = self.clock.now();
         let deadline = now + attempt.remaining();
         let key = offer_key(&attempt.from, attempt.offer);
-        let committed = self.book().commit(now, &key);
+        let committed = self.book().commit(now, &key, deadline);
         let Some(server) = self.server(&attempt.server) else {
             return misdirected();
         };
@@ -352,7 +357,7 @@
             id: backend.id.clone(),
             codec: Arc::clone(&self.codec),
             gate: Mutex::default(),
-            evidence: Evidence::new(self.epoch),
+            evidence: Evidence::new(self.life.0),
             control: self.control.clone(),
             stall_timeout: self.stall_timeout,
             replaced_until: AtomicU64::new(0),
--- a/crates/serve/src/hop.rs
+++ b/crates/serve/src/hop.rs
@@ -6,7 +6,7 @@
     atomic::{AtomicU64, Ordering},
 };
 
-use hop::{HopMessage, OfferId, OfferJob, OfferReply};
+use hop::{EgressLife, HopMessage, OfferId, OfferJob, OfferReply};
 use ids::{FastMap, VmId};
 use mesh::PeerMessage;
 use tokio::sync::mpsc;
@@ -121,9 +121,10 @@
         self.port.send(to, HopMessage::Withdraw { offer });
     }
 
-    /// Asks whether a committed request arrived.
-    pub fn check(&self, to: &VmId, offer: OfferId) {
-        self.port.send(to, HopMessage::Check { offer });
+    /// Asks the egress that granted an offer in `life` whether the request that
+    /// was committed to it arrived.
+    pub fn check(&self, to: &VmId, offer: OfferId, life: EgressLife) {
+        self.port.send(to, HopMessage::Check { offer, life });
     }
 }
 
