Don't take errors after failed calls as evidence against a server

Cause: a backend server whose call to another service fails answers 500.

Change: the ingress notes calls from its own VM that got no good answer; each explains one error of a request that ran meanwhile.

--- a/crates/health/src/lib.rs
+++ b/crates/health/src/lib.rs
@@ -10,12 +10,14 @@
 //! evidence allows at that confidence, at any request rate.
 
 mod baseline;
+mod calls;
 mod detector;
 mod event;
 mod gate;
 mod member;
 mod score;
 
+pub use calls::CallLedger;
 pub use detector::{DetectorOptions, MemberDump, PoolDetector, STUCK_FACTOR};
 pub use event::{Action, Counts, Event, MemberSpec, Observation, Reason};
 pub use gate::{Outcome, ServerGate, Verdict};
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -14,7 +14,7 @@
 use admit::{Event, QueueLimits, QueueReport, Refusal, SlotQueue};
 use arc_swap::ArcSwap;
 use config::Backend;
-use health::Counts;
+use health::{CallLedger, Counts};
 use hop::{
     EgressLife, HopMessage, OfferAnswer, OfferBook, OfferId, OfferJob, OfferKey, OfferReply,
     ServerLoad,
@@ -72,6 +72,8 @@
     stall_timeout: Duration,
     codec: Arc<dyn EdgeCodec>,
     book: Mutex<OfferDesk>,
+    /// Failed calls of requests that run on this VM.
+    calls: Arc<Mutex<CallLedger>>,
 }
 
 impl EgressHub {
@@ -96,6 +98,7 @@
             stall_timeout,
             codec,
             book: Mutex::new(OfferBook::new(life)),
+            calls: Arc::default(),
         }
     }
 
@@ -256,6 +259,12 @@
             .unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// A call that came from this VM, maybe from a request that runs here, got
+    /// no good answer.
+    pub fn note_failed_call(&self) {
+        lock_calls(&self.calls).note_failed(self.clock.now());
+    }
+
     /// Refuses new work from now on, or takes it again.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Release);
@@ -357,6 +366,7 @@
             id: backend.id.clone(),
             codec: Arc::clone(&self.codec),
             gate: Mutex::default(),
+            calls: Arc::clone(&self.calls),
             evidence: Evidence::new(self.life.0),
             control: self.control.clone(),
             stall_timeout: self.stall_timeout,
@@ -381,6 +391,11 @@
     }
 }
 
+/// Locks the failed calls; no holder panics.
+fn lock_calls(calls: &Mutex<CallLedger>) -> MutexGuard<'_, CallLedger> {
+    calls.lock().unwrap_or_else(|poison| poison.into_inner())
+}
+
 /// Answer for a backend server that is not here.
 fn misdirected() -> EgressAnswer {
     EgressAnswer {
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -10,14 +10,14 @@
 
 use admit::{Event, Job, JobId, Refusal};
 use config::Backend;
-use health::{Outcome, STUCK_FACTOR, ServerGate, Verdict};
+use health::{CallLedger, Outcome, STUCK_FACTOR, ServerGate, Verdict};
 use hop::{OfferJob, ServerLoad};
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Body, header::HeaderValue};
 use ids::{MonoTime, ServerId, Slots};
 use tokio::sync::oneshot;
 
-use super::EgressAnswer;
+use super::{EgressAnswer, lock_calls};
 use crate::{
     body::{BodyEnd, GuardedBody, ProxyBody, StallBody},
     clock::MonoClock,
@@ -49,6 +49,8 @@
     pub(super) id: ServerId,
     pub(super) codec: Arc<dyn EdgeCodec>,
     pub(super) gate: Mutex<ServerGate>,
+    /// Failed calls of requests that run on this VM.
+    pub(super) calls: Arc<Mutex<CallLedger>>,
     pub(super) control: ControlSender,
     pub(super) stall_timeout: Duration,
     /// End of the time for which another server is taken to be at its address.
@@ -321,15 +323,18 @@
         let (head, body) = response.into_parts();
         let shed = shed_pause(&head).map(|pause| pause.min(MAX_BACKOFF));
         let failed = head.status.is_server_error() && shed.is_none();
+        let excused = failed && self.is_excused(service);
         let response = Response::from_parts(head, body);
         held.pass.good = !failed && !overdue;
         match failed {
+            true if excused => {}
             true => self.note_outcome(Outcome::Error),
             false if !overdue => self.note_outcome(Outcome::Good),
             false => {}
         }
         match shed {
             Some(pause) => self.handle(Event::Backoff(pause)),
+            None if excused => {}
             None if failed => self.note_failure(overdue),
             None if !overdue => self.evidence.note(false, false),
             None => {}
@@ -360,6 +365,17 @@
         }
     }
 
+    /// Whether the error of a request that ran for `service` comes from a call
+    /// of its own that failed.
+    fn is_excused(&self, service: Duration) -> bool {
+        let now = self.clock.now();
+        let excused = lock_calls(&self.calls).excuse(now, now - service);
+        if excused {
+            log::debug!(server = self.id.as_str(); "egress: an error follows a failed call.");
+        }
+        excused
+    }
+
     /// Counts a failure, unless the request was counted as slow already.
     pub(super) fn note_failure(&self, overdue: bool) {
         if !overdue {
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -111,6 +111,9 @@
         let trail = Arc::new(RequestTrail::new(name));
         let result = self.try_serve(request, &trail).await;
         self.note_end(&trail, &result);
+        if self.is_call(&trail) && !is_good(&result) {
+            self.egress.note_failed_call();
+        }
         let mut response = result.unwrap_or_else(|refusal| refusal.response(&*self.codec));
         if self.view.is_leaving() {
             // The caller's next request goes to another daemon.
@@ -120,6 +123,12 @@
         response
     }
 
+    /// Whether a request may be a call of one that runs on this VM: these have
+    /// no account, and only a backend server's VM makes them.
+    fn is_call(&self, trail: &RequestTrail) -> bool {
+        self.local_service.is_some() && trail.is_open()
+    }
+
     /// Counts and logs how a request ended; answers as far as the volume of
     /// the log allows, refusals and failures before them.
     fn note_end(&self, trail: &RequestTrail, result: &Result<Response<ProxyBody>, Refusal>) {
@@ -275,6 +284,13 @@
     }
 }
 
+/// Whether the caller got what it asked for.
+fn is_good(result: &Result<Response<ProxyBody>, Refusal>) -> bool {
+    result
+        .as_ref()
+        .is_ok_and(|response| response.status().is_success())
+}
+
 /// Host of a request in lower case, without port.
 fn host_of(head: &Parts) -> Option<String> {
     let authority = match head.uri.authority() {
--- a/crates/serve/src/trail.rs
+++ b/crates/serve/src/trail.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Whether the request was let in for no client account.
+    pub fn is_open(&self) -> bool {
+        let head = self.lock();
+        head.service.is_some() && head.account.is_none()
+    }
+
     /// Notes what the request was let in as, under a configuration revision.
     pub fn admit(&self, service: &ServiceId, account: Option<&AccountId>, revision: u64) {
         let mut head = self.lock();
