Spend less on long queues: fewer signs of life, one timer, linear expiry

Change: an offer that waits is repeated after half of its age, 150 ms to 1 s; the timer of a queue is kept by one of those that wait; what goes before a job is counted once for all.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -1,6 +1,6 @@
 //! The queue itself.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use ids::{AccountId, FastMap, MonoTime, Rank, Slots};
 
@@ -65,6 +65,19 @@
     bulk: bool,
 }
 
+/// Number of waiting jobs by internal work and rank. Counted once for a pass
+/// over all of them, which would take quadratic time otherwise.
+#[derive(Clone, Debug, Default)]
+struct ClassCounts(BTreeMap<(bool, Rank), usize>);
+
+impl ClassCounts {
+    /// Jobs of the job's class and of those that go before it.
+    fn up_to(&self, job: &Job) -> usize {
+        let class = (job.internal, job.rank);
+        self.0.range(..=class).map(|(_, count)| count).sum()
+    }
+}
+
 /// Slot and queue authority of one backend server.
 #[derive(Clone, Debug)]
 pub struct SlotQueue {
@@ -195,7 +208,10 @@
         // as far as the slot time is known.
         let wait = self.flows.mean_time().mul_f64(own / slots);
         let needed = self.least_time();
-        let ahead_of_all = self.wait_of(job).mul_f64(STAYING_SHARE) + needed;
+        let ahead_of_all = self
+            .wait_of(job, &self.class_counts())
+            .mul_f64(STAYING_SHARE)
+            + needed;
         match job.deadline {
             _ if self.draining => Some(Refusal::Leaving),
             deadline if deadline <= now => Some(Refusal::Expired),
@@ -208,21 +224,28 @@
         }
     }
 
+    /// Waiting jobs of each class.
+    fn class_counts(&self) -> ClassCounts {
+        let mut counts = ClassCounts::default();
+        for job in &self.waiting {
+            *counts.0.entry((job.internal, job.rank)).or_default() += 1;
+        }
+        counts
+    }
+
     /// Time until a job that came now would have a slot, if all that goes
     /// before it stays.
-    fn wait_of(&self, job: &Job) -> Duration {
-        let class = (job.internal, job.rank);
-        let before = |other: &&Job| (other.internal, other.rank) <= class;
-        let turns = self.waiting.iter().filter(before).count() + usize::from(self.is_full());
+    fn wait_of(&self, job: &Job, counts: &ClassCounts) -> Duration {
+        let turns = counts.up_to(job) + usize::from(self.is_full());
         let slots = f64::from(self.limits.slots.get().max(1));
         self.flows.mean_time().mul_f64(turns as f64 / slots)
     }
 
     /// Time until a waiting job that has missed its target would end: all that
     /// can still make theirs go before it. Zero for the others.
-    fn late_wait(&self, now: MonoTime, job: &Job) -> Duration {
+    fn late_wait(&self, now: MonoTime, job: &Job, counts: &ClassCounts) -> Duration {
         match self.is_late(now, job) && self.is_full() {
-            true => self.wait_of(job).mul_f64(STAYING_SHARE) + self.least_time(),
+            true => self.wait_of(job, counts).mul_f64(STAYING_SHARE) + self.least_time(),
             false => Duration::ZERO,
         }
     }
@@ -283,21 +306,24 @@
     /// Refuses waiting jobs that can't end before their deadline any more.
     fn expire(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
         let needed = self.least_time();
+        let counts = self.class_counts();
         let verdict = |job: &Job| match job.deadline {
             deadline if deadline <= now => Some(Refusal::Expired),
             deadline if deadline <= now + needed => Some(Refusal::Overloaded),
-            deadline if deadline <= now + self.late_wait(now, job) => Some(Refusal::Overloaded),
+            deadline if deadline <= now + self.late_wait(now, job, &counts) => {
+                Some(Refusal::Overloaded)
+            }
             _ => None,
         };
-        let refused: Vec<(JobId, Refusal)> = self
-            .waiting
-            .iter()
-            .filter_map(|job| Some((job.id, verdict(job)?)))
-            .collect();
-        for (id, refusal) in refused {
-            self.waiting.retain(|job| job.id != id);
-            actions.push(Action::Refuse(id, refusal));
-        }
+        let refused: Vec<Option<Refusal>> = self.waiting.iter().map(verdict).collect();
+        let mut verdicts = refused.into_iter();
+        self.waiting.retain(|job| match verdicts.next().flatten() {
+            Some(refusal) => {
+                actions.push(Action::Refuse(job.id, refusal));
+                false
+            }
+            None => true,
+        });
     }
 
     /// Fills the free slots.
--- a/crates/hop/src/search.rs
+++ b/crates/hop/src/search.rs
@@ -16,10 +16,15 @@
 const REPEAT_AFTER: Duration = Duration::from_millis(25);
 /// Time without an answer after which another server is asked as well.
 const ELSEWHERE_AFTER: Duration = Duration::from_millis(40);
-/// Time without an answer after which a daemon is given up.
-const GIVE_UP_AFTER: Duration = Duration::from_millis(700);
-/// Time between signs of life of an offer that waits.
-const HEARTBEAT: Duration = Duration::from_millis(150);
+/// Time without an answer after which a daemon is given up, beyond the time
+/// between two signs of life of its offer.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(550);
+/// Time between signs of life of an offer that waits: a share of its age
+/// within these bounds, so that long queues don't cost their egress more
+/// messages than new offers do.
+const MIN_HEARTBEAT: Duration = Duration::from_millis(150);
+const MAX_HEARTBEAT: Duration = Duration::from_secs(1);
+const HEARTBEAT_SHARE: u32 = 2;
 /// Time that an offer waits before a second server is asked.
 const TIE_AFTER: Duration = Duration::from_millis(15);
 /// Offers of one request that wait at a time.
@@ -89,7 +94,7 @@
     /// When it is sent again.
     fn repeat_at(&self) -> MonoTime {
         match self.heard {
-            Some(_) => self.sent + HEARTBEAT,
+            Some(_) => self.sent + self.heartbeat(),
             None => self.sent + REPEAT_AFTER,
         }
     }
@@ -104,7 +109,15 @@
 
     /// When its daemon is given up.
     fn give_up_at(&self) -> MonoTime {
-        self.heard.unwrap_or(self.made) + GIVE_UP_AFTER
+        self.heard.unwrap_or(self.made) + self.heartbeat() + GIVE_UP_AFTER
+    }
+
+    /// Time between signs of life.
+    fn heartbeat(&self) -> Duration {
+        let heard_for = self
+            .heard
+            .map_or(Duration::ZERO, |heard| heard.since(self.made));
+        (heard_for / HEARTBEAT_SHARE).clamp(MIN_HEARTBEAT, MAX_HEARTBEAT)
     }
 }
 
--- a/crates/hop/tests/slot_search.rs
+++ b/crates/hop/tests/slot_search.rs
@@ -1,5 +1,7 @@
 //! The search for a slot: repeated, tied, withdrawn, never committed twice.
 
+use std::time::Duration;
+
 use hop::{
     EgressLife, NotRun, OfferId, OfferReply, SearchAction, SearchEvent, SearchOptions, ServerLoad,
     SlotSearch,
@@ -205,3 +207,38 @@
     let actions = search.handle(at(131), SearchEvent::NoServer(OfferId(2)));
     assert_eq!(actions, [SearchAction::Fail(Some(NotRun::Failing))]);
 }
+
+#[test]
+fn long_wait_costs_few_messages() {
+    // Pattern: a long queue before a weak VM. Each offer that waits is repeated
+    // as a sign of life; at a fixed short gap, 160 of them keep the daemon
+    // there busier than all new offers do.
+    let options = SearchOptions {
+        deadline: at(20_000),
+        most_offers: 1,
+    };
+    let mut search = SlotSearch::new(options, OfferId(0));
+    search.handle(at(0), SearchEvent::Start);
+    search.handle(at(1), waiting(0));
+    let mut repeats = Vec::new();
+    let mut now = at(1);
+    while now < at(10_000) {
+        now = search.next_tick();
+        for action in search.handle(now, SearchEvent::Tick) {
+            assert_eq!(action, SearchAction::Repeat(OfferId(0)));
+            repeats.push(now);
+            search.handle(now, waiting(0));
+        }
+    }
+    assert!(repeats.len() <= 15, "{}", repeats.len());
+    // A daemon that falls silent then is still noticed within 2 s.
+    let last = now;
+    let mut given_up = None;
+    while given_up.is_none() {
+        now = search.next_tick();
+        assert!(now <= last + Duration::from_secs(2), "{now}");
+        let actions = search.handle(now, SearchEvent::Tick);
+        let withdrawn = actions.contains(&SearchAction::Withdraw(OfferId(0)));
+        given_up = withdrawn.then_some(now);
+    }
+}
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -21,7 +21,7 @@
 };
 use hyper::{Request, Response};
 use ids::{FastMap, ServerId, VmId};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 pub use self::probed::ProbedServer;
 use self::server::{EgressServer, HeldSlot};
@@ -363,6 +363,8 @@
                 waiters: FastMap::default(),
                 next_job: 0,
             }),
+            time_keeper: tokio::sync::Mutex::default(),
+            tick_changed: Notify::new(),
             id: backend.id.clone(),
             codec: Arc::clone(&self.codec),
             gate: Mutex::default(),
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -15,7 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Body, header::HeaderValue};
 use ids::{MonoTime, ServerId, Slots};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::{EgressAnswer, lock_calls};
 use crate::{
@@ -38,6 +38,11 @@
 /// word: others are preferred, and nothing is refused for it.
 const LOADED_DELAY: Duration = Duration::from_millis(20);
 
+/// What a waiting job is told.
+type JobVerdict = Result<Result<(), Refusal>, oneshot::error::RecvError>;
+/// Where it is told.
+type VerdictReceiver = oneshot::Receiver<Result<(), Refusal>>;
+
 /// One backend server.
 #[derive(Debug)]
 pub(super) struct EgressServer {
@@ -45,6 +50,10 @@
     pub(super) links: Arc<LinkPool>,
     pub(super) clock: MonoClock,
     pub(super) desk: Mutex<QueueDesk>,
+    /// Held by the waiting job that passes time to the queue.
+    pub(super) time_keeper: tokio::sync::Mutex<()>,
+    /// The next tick of the queue may have changed.
+    pub(super) tick_changed: Notify,
     pub(super) evidence: Evidence,
     pub(super) id: ServerId,
     pub(super) codec: Arc<dyn EdgeCodec>,
@@ -137,16 +146,37 @@
         deadline: MonoTime,
     ) -> Result<SlotTicket, Refusal> {
         let (ticket, mut verdict) = self.enqueue(job, deadline);
+        // The one that keeps the queue's time may be waiting for a later tick.
+        self.tick_changed.notify_one();
+        let verdict = tokio::select! {
+            biased;
+            verdict = &mut verdict => verdict,
+            turn = self.time_keeper.lock() => {
+                self.keep_time(&turn, deadline, &mut verdict).await
+            }
+        };
+        match verdict {
+            Ok(Ok(())) => Ok(ticket),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(Refusal::Expired),
+        }
+    }
+
+    /// Passes time to the queue while a job waits. Of all that wait here only
+    /// the one whose turn it is does so: with a timer each, every tick would
+    /// wake them all.
+    async fn keep_time(
+        &self,
+        _turn: &tokio::sync::MutexGuard<'_, ()>,
+        deadline: MonoTime,
+        verdict: &mut VerdictReceiver,
+    ) -> JobVerdict {
         loop {
             let tick = self.lock().queue.next_tick().unwrap_or(deadline);
             tokio::select! {
-                result = &mut verdict => {
-                    return match result {
-                        Ok(Ok(())) => Ok(ticket),
-                        Ok(Err(refusal)) => Err(refusal),
-                        Err(_) => Err(Refusal::Expired),
-                    };
-                }
+                biased;
+                verdict = &mut *verdict => return verdict,
+                () = self.tick_changed.notified() => {}
                 () = tokio::time::sleep_until(self.clock.instant(tick)) => {
                     self.handle(Event::Tick);
                 }
@@ -159,7 +189,7 @@
         self: &Arc<Self>,
         offered: &OfferJob,
         deadline: MonoTime,
-    ) -> (SlotTicket, oneshot::Receiver<Result<(), Refusal>>) {
+    ) -> (SlotTicket, VerdictReceiver) {
         let (sender, verdict) = oneshot::channel();
         let mut desk = self.lock();
         let id = JobId(desk.next_job);
