Let a backend server that comes back take requests again

Cause: an egress that found its server missing from the configuration drained the server's queue, and never resumed it when the entry came back under the same id and address, as entries do after an outage of the store and servers do that start again. Until the daemon restarted, all its requests were refused as `leaving`.

Change: with each configuration that lists the server its queue resumes, unless the daemon itself is leaving.

--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -277,12 +277,19 @@
         }
     }
 
-    /// Follows a new configuration: slots, and servers that are gone.
+    /// Follows a new configuration: slots, and servers that are gone or back.
     pub fn follow_table(&self) {
         let table = self.view.table();
         for (id, server) in self.servers.load().iter() {
             match table.server(id) {
-                Some(backend) if backend.vm == self.view.vm => server.resize(backend.slots),
+                Some(backend) if backend.vm == self.view.vm => {
+                    server.resize(backend.slots);
+                    // Its entry may have been away for a while.
+                    server.handle(Event::Resume);
+                    if self.is_draining() {
+                        server.handle(Event::Drain);
+                    }
+                }
                 _ => server.handle(Event::Drain),
             }
         }
