Give peers the buckets that differ in place of whole configurations

Readers step through the store's revisions as their watches wake them, so the deltas of one seldom continue the table of another, and a peer that is asked then gave the whole configuration, as JSON.

Ruled out: offers and their answers (4.0 and 3.8 MB), exchanges and evidence (8.4 MB), by counting frames of each kind.

Change: a pull carries a digest for each of 64 buckets of records; the answer has the buckets that differ. The result is checked against the digest of the whole state, and makes a delta, which is pushed on and kept as before.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 mod model;
 mod pack;
 mod packed;
+mod patch;
 mod record;
 mod shard;
 mod table;
@@ -30,10 +31,11 @@
     ServiceShare, Vm, VmEntry, VmList, VmState, Zone,
 };
 pub use pack::{
-    Changes, Delta, MAX_VALUE_BYTES, Manifest, PackedValue, PartRef, diff_records, parse_changes,
-    parse_manifest, parse_part, parse_vm_list, publish_set,
+    Changes, Delta, MAX_VALUE_BYTES, Manifest, PackedValue, PartRef, delta_between, diff_records,
+    parse_changes, parse_manifest, parse_part, parse_vm_list, publish_set,
 };
 pub use packed::{PackedMap, PackedRecord};
+pub use patch::{BucketDigests, TablePatch};
 pub use record::{Record, RecordId};
 pub use shard::ShardMap;
 pub use table::{ConfigTable, TableBuilder};
--- a/crates/config/src/pack.rs
+++ b/crates/config/src/pack.rs
@@ -161,6 +161,23 @@
     (removes, puts)
 }
 
+/// The step from one table to the next by the difference of their records;
+/// `None` from the empty table, which has nothing that a step could continue.
+pub fn delta_between(
+    current: &ConfigTable,
+    next: &ConfigTable,
+    difference: (Vec<RecordId>, Vec<Record>),
+) -> Option<Delta> {
+    let (removes, puts) = difference;
+    (current.revision() > Revision(0)).then(|| Delta {
+        previous: current.revision(),
+        revision: next.revision(),
+        state: next.state(),
+        removes,
+        puts,
+    })
+}
+
 /// Makes the values to publish for `records`, as the revision after `old`.
 ///
 /// `old` is the table and the changes of the set published before.
--- a/crates/serve/src/control/adopt.rs
+++ b/crates/serve/src/control/adopt.rs
@@ -3,20 +3,20 @@
 
 use std::sync::Arc;
 
-use config::{ConfigTable, Delta, TableBuilder, VmList, VmState};
+use config::{BucketDigests, ConfigTable, Delta, TablePatch, VmList, VmState};
 use ids::{Revision, VmId};
 use limit::{CellMap, CellMember, LimitEvent};
 use mesh::{SpreadEvent, SpreadPeer};
 
 use super::{
     ControlLoop,
-    pull::{PullReply, PullRequest, WholeConfig},
+    pull::{PullReply, PullRequest},
 };
 
 /// Deltas kept for peers that lag.
 const KEPT_DELTAS: usize = 256;
-/// Records up to which a whole configuration is given to a peer.
-const MAX_WHOLE_RECORDS: usize = 20_000;
+/// Records up to which peers compare whole tables: 64 buckets of 300 records.
+const MAX_PATCHED_RECORDS: usize = 20_000;
 
 impl ControlLoop {
     /// What is newer than a peer knows.
@@ -29,26 +29,38 @@
             .position(|delta| delta.previous == request.config);
         let behind = request.config < table.revision();
         let deltas = start.map(|start| self.deltas.iter().skip(start).cloned().collect());
-        let small = table.counts().values().sum::<usize>() <= MAX_WHOLE_RECORDS;
-        let whole = (behind && deltas.is_none() && small).then(|| WholeConfig {
-            revision: table.revision(),
-            state: table.state(),
-            records: table.records(),
-        });
+        let known = request.digests.as_ref();
+        let known = known.filter(|_| behind && deltas.is_none() && is_small(&table));
+        let patch = known.map(|known| TablePatch::new(&table, known));
         PullReply {
             deltas: deltas.filter(|_| behind).unwrap_or_default(),
-            whole,
+            patch,
             vms: (request.vms < vms.revision).then(|| VmList::clone(&vms)),
         }
     }
 
+    /// What a peer has to know to answer a pull.
+    pub(super) fn pull_request(&self) -> PullRequest {
+        let table = self.parts.view.table();
+        PullRequest {
+            config: table.revision(),
+            vms: self.parts.view.vms().revision,
+            digests: is_small(&table).then(|| BucketDigests::of(&table.records())),
+        }
+    }
+
     /// Takes what a peer gave.
     pub(super) fn take_pulled(&mut self, reply: PullReply) {
         self.apply_deltas(reply.deltas);
-        if let Some(whole) = reply.whole.filter(|whole| self.is_newer(whole.revision)) {
-            match build_whole(whole) {
-                Ok(table) => self.adopt_config(Arc::new(table), Vec::new()),
-                Err(error) => log::warn!("mesh: configuration of a peer refused: {error}."),
+        if let Some(patch) = reply.patch.filter(|patch| self.is_newer(patch.revision)) {
+            let current = self.parts.view.table();
+            match patch.apply(&current) {
+                Ok((table, delta)) => {
+                    self.adopt_config(Arc::new(table), delta.into_iter().collect());
+                }
+                // What is in force has changed since the pull; the next one
+                // sends its digests anew.
+                Err(error) => log::info!("mesh: patch of a peer refused: {error}."),
             }
         }
         if let Some(list) = reply.vms {
@@ -190,12 +202,7 @@
     delta.removes.iter().any(removed) || delta.puts.iter().any(put)
 }
 
-/// Builds and checks a whole configuration of a peer.
-fn build_whole(whole: WholeConfig) -> Result<ConfigTable, config::ConfigError> {
-    let mut builder = TableBuilder::new();
-    for record in whole.records {
-        builder.put(record)?;
-    }
-    builder.check_all_links()?;
-    builder.finish(whole.revision, whole.state)
+/// Whether the records of a table are few enough to be compared in whole.
+fn is_small(table: &ConfigTable) -> bool {
+    table.counts().values().sum::<usize>() <= MAX_PATCHED_RECORDS
 }
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -391,10 +391,7 @@
         let Some(links) = self.parts.pools.peer(from) else {
             return;
         };
-        let request = PullRequest {
-            config: self.parts.view.table().revision(),
-            vms: self.parts.view.vms().revision,
-        };
+        let request = self.pull_request();
         let seal = self.parts.seal.clone();
         let sender = self.parts.sender.clone();
         self.tasks.spawn(pull_from(links, seal, request, sender));
--- a/crates/serve/src/control/pull.rs
+++ b/crates/serve/src/control/pull.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use config::{Delta, Record, StateDigest, VmList};
+use config::{BucketDigests, Delta, TablePatch, VmList};
 use hyper::{Request, Response, StatusCode};
 use ids::Revision;
 use serde::{Deserialize, Serialize};
@@ -28,6 +28,8 @@
     pub config: Revision,
     /// VM list in force there.
     pub vms: Revision,
+    /// Digests of its records, if there are not too many.
+    pub digests: Option<BucketDigests>,
 }
 
 /// What is newer.
@@ -35,23 +37,12 @@
 pub struct PullReply {
     /// Deltas from the revision asked for, if they reach back that far.
     pub deltas: Vec<Delta>,
-    /// The whole configuration, if they do not and it is small.
-    pub whole: Option<WholeConfig>,
+    /// What differs, if they do not and there are not too many records.
+    pub patch: Option<TablePatch>,
     /// The VM list, if newer.
     pub vms: Option<VmList>,
 }
 
-/// A whole configuration.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub struct WholeConfig {
-    /// Its revision.
-    pub revision: Revision,
-    /// Digest of its records.
-    pub state: StateDigest,
-    /// Its records.
-    pub records: Vec<Record>,
-}
-
 /// Proof that a reply is from a daemon of the fleet.
 #[derive(Deserialize, Serialize)]
 struct ReplyProof {
