Shed the calls of whole requests where a service has no room for all

Cause: a request that makes two calls to an overloaded service needs both.

Pattern: subsequent overload, as in DAGOR (Zhou et al., "Overload Control for Scaling WeChat Microservices", SoCC 2018): calls of one piece of work share a random place in the order, at all servers. The adapter reads which calls belong together from their names; without that nothing changes.

--- a/crates/admit/src/job.rs
+++ b/crates/admit/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use ids::{AccountId, MonoTime, Rank, Slots, Weight};
+use ids::{AccountId, Lot, MonoTime, Rank, Slots, Weight};
 
 /// Number of a job, unique within one queue.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -23,6 +23,8 @@
     pub account: Option<AccountId>,
     /// Rank among those that wait.
     pub rank: Rank,
+    /// Its place where there is no room for all of its rank and account.
+    pub lot: Lot,
     /// Whether it is internal work, which must not delay customers.
     pub internal: bool,
     /// Whether it is a long transfer, which may not take every slot.
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -1,8 +1,11 @@
 //! The queue itself.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    cmp::{Ordering, Reverse},
+    time::Duration,
+};
 
-use ids::{AccountId, FastMap, MonoTime, Rank, Slots};
+use ids::{AccountId, FastMap, Lot, MonoTime, Rank, Slots};
 
 use crate::{
     demand::ArrivalWindow,
@@ -65,16 +68,60 @@
     bulk: bool,
 }
 
-/// Number of waiting jobs by internal work and rank. Counted once for a pass
-/// over all of them, which would take quadratic time otherwise.
-#[derive(Clone, Debug, Default)]
-struct ClassCounts(BTreeMap<(bool, Rank), usize>);
+/// Class of a job by internal work and rank, and its place in it.
+type JobClass = (bool, Rank, Reverse<Lot>);
+
+/// Class of a job.
+fn class_of(job: &Job) -> JobClass {
+    (job.internal, job.rank, Reverse(job.lot))
+}
+
+/// Classes of all waiting jobs, in order. Made once for a pass over all of
+/// them, which would take quadratic time otherwise.
+#[derive(Clone, Debug)]
+struct ClassCounts(Vec<JobClass>);
 
 impl ClassCounts {
+    /// Counts jobs.
+    fn new(jobs: &[Job]) -> Self {
+        let mut classes: Vec<JobClass> = jobs.iter().map(class_of).collect();
+        classes.sort_unstable();
+        Self(classes)
+    }
+
     /// Jobs of the job's class and of those that go before it.
     fn up_to(&self, job: &Job) -> usize {
-        let class = (job.internal, job.rank);
-        self.0.range(..=class).map(|(_, count)| count).sum()
+        let class = class_of(job);
+        self.0.partition_point(|other| *other <= class)
+    }
+}
+
+/// A waiting job, as it compares to another one that came before it.
+#[derive(Clone, Copy, Debug)]
+struct JobPlace {
+    /// Internal work, rank, and whether it is late.
+    class: (bool, Rank, bool),
+    /// Virtual start time of its account.
+    start: f64,
+    lot: Lot,
+    place: usize,
+}
+
+impl JobPlace {
+    /// Whether it is to run before `other`. Jobs of one account start at the
+    /// same time: the higher lot goes first then, so that calls of one piece of
+    /// work fare alike at all servers; and among equals, if the queue is
+    /// pressed, the one that came last.
+    fn goes_before(&self, other: &Self, pressed: bool) -> bool {
+        match self.class.cmp(&other.class) {
+            Ordering::Equal => {}
+            order => return order.is_lt(),
+        }
+        match self.start.total_cmp(&other.start) {
+            Ordering::Equal => {}
+            order => return order.is_lt(),
+        }
+        self.lot > other.lot || (self.lot == other.lot && pressed)
     }
 }
 
@@ -201,7 +248,10 @@
 
     /// Why a job that comes now would be refused at once.
     fn refusal(&self, now: MonoTime, job: &Job) -> Option<Refusal> {
-        let ahead = |other: &&Job| other.account == job.account && other.internal == job.internal;
+        let ahead = |other: &&Job| {
+            let same = other.account == job.account && other.internal == job.internal;
+            same && other.lot >= job.lot
+        };
         let own = self.waiting.iter().filter(ahead).count() as f64;
         let slots = f64::from(self.limits.slots.get().max(1));
         // Jobs of the same account go first in any case, so this wait is sure
@@ -209,7 +259,7 @@
         let wait = self.flows.mean_time().mul_f64(own / slots);
         let needed = self.least_time();
         let ahead_of_all = self
-            .wait_of(job, &self.class_counts())
+            .wait_of(job, &ClassCounts::new(&self.waiting))
             .mul_f64(STAYING_SHARE)
             + needed;
         match job.deadline {
@@ -224,15 +274,6 @@
         }
     }
 
-    /// Waiting jobs of each class.
-    fn class_counts(&self) -> ClassCounts {
-        let mut counts = ClassCounts::default();
-        for job in &self.waiting {
-            *counts.0.entry((job.internal, job.rank)).or_default() += 1;
-        }
-        counts
-    }
-
     /// Time until a job that came now would have a slot, if all that goes
     /// before it stays.
     fn wait_of(&self, job: &Job, counts: &ClassCounts) -> Duration {
@@ -269,8 +310,9 @@
         self.waiting.iter().any(|job| pressed(&job))
     }
 
-    /// Place of the job to give up when the queue is too long: the latest of
-    /// the account with most waiting for its weight, internal work first.
+    /// Place of the job to give up when the queue is too long: the lowest lot,
+    /// then the latest, of the account with most waiting for its weight,
+    /// internal work first.
     fn longest_tail(&self) -> usize {
         let internal = self.waiting.iter().any(|job| job.internal);
         let mut counts: FastMap<&Option<AccountId>, f64> = FastMap::default();
@@ -278,11 +320,12 @@
             *counts.entry(&job.account).or_default() += 1.0 / f64::from(job.weight.get().max(1));
         }
         let mut tail = self.waiting.len() - 1;
-        let mut most = 0.0;
+        let mut most = (0.0, Reverse(Lot(u32::MAX)));
         for (place, job) in self.waiting.iter().enumerate() {
             let count = counts.get(&job.account).copied().unwrap_or(0.0);
-            if job.internal == internal && count >= most {
-                most = count;
+            let burden = (count, Reverse(job.lot));
+            if job.internal == internal && burden >= most {
+                most = burden;
                 tail = place;
             }
         }
@@ -306,7 +349,7 @@
     /// Refuses waiting jobs that can't end before their deadline any more.
     fn expire(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
         let needed = self.least_time();
-        let counts = self.class_counts();
+        let counts = ClassCounts::new(&self.waiting);
         let verdict = |job: &Job| match job.deadline {
             deadline if deadline <= now => Some(Refusal::Expired),
             deadline if deadline <= now + needed => Some(Refusal::Overloaded),
@@ -353,27 +396,25 @@
         let bulk_room = self.bulk_room(now);
         let pressed = self.is_pressed(now);
         let charges: Vec<&FlowCharge> = self.running.values().map(|item| &item.charge).collect();
-        let mut best: Option<((bool, Rank, bool), f64, usize)> = None;
+        let mut best: Option<JobPlace> = None;
         for (place, job) in self.waiting.iter().enumerate() {
             let held = (job.internal && internal_room == 0) || (job.bulk && bulk_room == 0);
             if held {
                 continue;
             }
             let start = self.flows.start_time(&job.account, &charges, now);
-            // What can still make its target goes before what is late.
-            let class = (job.internal, job.rank, self.is_late(now, job));
-            let better = match best {
-                // Jobs of one account have the same start; the last one of them
-                // wins when the queue is pressed.
-                Some((other, first, _)) if pressed => (class, start) <= (other, first),
-                Some((other, first, _)) => (class, start) < (other, first),
-                None => true,
+            let found = JobPlace {
+                // What can still make its target goes before what is late.
+                class: (job.internal, job.rank, self.is_late(now, job)),
+                start,
+                lot: job.lot,
+                place,
             };
-            if better {
-                best = Some((class, start, place));
+            if best.is_none_or(|other| found.goes_before(&other, pressed)) {
+                best = Some(found);
             }
         }
-        best.map(|(_, start, place)| (place, start))
+        best.map(|found| (found.place, found.start))
     }
 
     /// Internal jobs that may start now.
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use admit::{Action, Event, Job, JobId, QueueLimits, SlotQueue};
-use ids::{AccountId, FastMap, MonoTime, Rank, Slots, Weight};
+use ids::{AccountId, FastMap, Lot, MonoTime, Rank, Slots, Weight};
 
 /// Slot time of every job.
 const WORK: Duration = Duration::from_millis(200);
@@ -53,6 +53,7 @@
                 id,
                 account: Some(account),
                 rank: Rank(0),
+                lot: Lot(0),
                 internal: false,
                 bulk: false,
                 weight: Weight(1),
--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -4,7 +4,7 @@
 
 use config::KeyDigest;
 use health::Counts;
-use ids::{AccountId, Rank, ServerId, Weight};
+use ids::{AccountId, Lot, Rank, ServerId, Weight};
 use serde::{Deserialize, Serialize};
 
 /// Number of an offer, unique for the daemon that makes it.
@@ -79,6 +79,8 @@
     pub weight: Weight,
     /// Rank among requests that wait for a slot.
     pub rank: Rank,
+    /// Place among requests that wait, where there is no room for all.
+    pub lot: Lot,
     /// Internal work.
     pub internal: bool,
     /// Long transfer.
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -345,6 +345,7 @@
             key: options.key,
             weight: account.map_or(Weight(1), |account| account.weight),
             rank: options.rank,
+            lot: options.lot,
             internal: options.internal,
             bulk: options.bulk,
             repeatable: options.idempotent,
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -1,7 +1,9 @@
 //! Starts and stops the parts of one daemon.
 
 use std::{
-    fmt, io,
+    fmt,
+    hash::RandomState,
+    io,
     net::SocketAddr,
     sync::{Arc, atomic::AtomicBool},
     time::Duration,
@@ -226,6 +228,7 @@
             metrics: Arc::clone(&metrics),
             gate: RateGate::new(clock, control.clone()),
             control: control.clone(),
+            lots: RandomState::new(),
             answer_lines: LineBudget::new(Ingress::ANSWER_LINES),
             failure_lines: LineBudget::new(Ingress::FAILURE_LINES),
         });
--- a/crates/serve/src/edge.rs
+++ b/crates/serve/src/edge.rs
@@ -71,6 +71,10 @@
     /// The caller's name for a request on its way, if it has one.
     fn request_name(&self, headers: &HeaderMap) -> Option<HeaderValue>;
 
+    /// What the calls of one piece of work have in common by the name of a
+    /// request, if its caller says so.
+    fn work_name<'a>(&self, request: &'a str) -> Option<&'a str>;
+
     /// Writes what a caller is told beside an answer of the proxy's own.
     fn write_refusal(&self, headers: &mut HeaderMap, refusal: Refusal);
 }
@@ -107,6 +111,10 @@
         None
     }
 
+    fn work_name<'a>(&self, _request: &'a str) -> Option<&'a str> {
+        None
+    }
+
     fn write_refusal(&self, headers: &mut HeaderMap, refusal: Refusal) {
         headers.insert(wire::OUTCOME, HeaderValue::from_static(refusal.outcome()));
         if let Ok(value) = refusal.to_string().parse() {
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -198,6 +198,7 @@
         let job = Job {
             id,
             rank: offered.rank,
+            lot: offered.lot,
             account: offered.account.clone(),
             internal: offered.internal,
             bulk: offered.bulk,
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -3,7 +3,11 @@
 //! The order matters: strip, route, key, body, tokens, attempts. A refusal
 //! before the attempts is `not-run` by construction.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    hash::{BuildHasher, RandomState},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use config::{Access, Account, Class, KeyDigest, KeyHasher, Route};
@@ -13,7 +17,7 @@
     header::{CONNECTION, HOST, HeaderValue},
     http::request::Parts,
 };
-use ids::{Rank, ServiceId};
+use ids::{Lot, Rank, ServiceId};
 
 use crate::{
     answer::Refusal,
@@ -66,6 +70,8 @@
     pub gate: RateGate,
     /// The control loop, which takes evidence.
     pub control: ControlSender,
+    /// Draws lots by hash.
+    pub lots: RandomState,
     /// Lines of answered requests, and of all others.
     pub answer_lines: LineBudget,
     pub failure_lines: LineBudget,
@@ -188,6 +194,7 @@
         let options = RunOptions {
             trail: Arc::clone(trail),
             rank: self.rank_of(route, account),
+            lot: self.lot_of(&trail.name),
             max_attempts: route.terms.max_attempts,
             account: admission
                 .caller
@@ -257,6 +264,18 @@
         }
     }
 
+    /// Place of a request among its equals where there is no room for all.
+    ///
+    /// All calls of one piece of work have the same, at every server: what is
+    /// shed of them is whole pieces of work. The state of the hash is this
+    /// daemon's, through which they all go.
+    fn lot_of(&self, name: &str) -> Lot {
+        match self.codec.work_name(name) {
+            Some(work) => Lot((self.lots.hash_one(work) as u32).max(1)),
+            None => Lot::default(),
+        }
+    }
+
     /// Holds a small body so that it can be sent again.
     async fn take_body(&self, body: ProxyBody) -> Result<(ProxyBody, Option<Bytes>), Refusal> {
         if body.is_end_stream() {
