--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -80,6 +80,18 @@
         addresses: FreeAddresses,
         platform: SocketAddr,
         secret: &str,
+    ) -> Self {
+        Self::start_logged(index, zones, addresses, platform, secret, Stdio::null())
+    }
+
+    /// Starts a daemon whose log lines go to `log`.
+    pub fn start_logged(
+        index: usize,
+        zones: usize,
+        addresses: FreeAddresses,
+        platform: SocketAddr,
+        secret: &str,
+        log: Stdio,
     ) -> Self {
         let settings = format!(
             r#"{{ "vm": "vm-{index}", "zone": "zone-{}", // a comment
@@ -101,7 +113,7 @@
             .arg("run")
             .arg(&path)
             .stdin(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(log)
             .spawn()
             .unwrap();
         Self {
