--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -32,7 +32,7 @@
     pool::{PoolState, PoolTable},
     run::{RequestRun, RunOptions},
     settings::LiveSettings,
-    trail::{LineBudget, RequestTrail},
+    trail::{LineBudget, RequestEnd, RequestTrail},
     view::FleetView,
     wire::HeaderSeal,
 };
@@ -163,7 +163,16 @@
             _ => &self.failure_lines,
         };
         match budget.take() {
-            true => trail.log(level, status.as_u16(), outcome, &reason),
+            true => {
+                let refusal = result.as_ref().err();
+                let end = RequestEnd {
+                    status: status.as_u16(),
+                    outcome,
+                    reason: &reason,
+                    retry_after: refusal.and_then(|refusal| refusal.retry_after()),
+                };
+                trail.log(level, &end);
+            }
             false => {
                 self.metrics.unlogged.inc();
             }
--- a/crates/serve/src/trail.rs
+++ b/crates/serve/src/trail.rs
@@ -31,6 +31,19 @@
     steps: Vec<TrailStep>,
 }
 
+/// How a request ended, for its line.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestEnd<'a> {
+    /// Status that the caller got.
+    pub status: u16,
+    /// What the caller was told of its being run.
+    pub outcome: &'a str,
+    /// Why it was refused or failed; empty if it was answered.
+    pub reason: &'a str,
+    /// When the caller was asked to come back.
+    pub retry_after: Option<Duration>,
+}
+
 /// The way of one request through the fleet, as its ingress saw it.
 #[derive(Debug)]
 pub struct RequestTrail {
@@ -82,7 +95,7 @@
     }
 
     /// Writes the line of a request that has ended.
-    pub fn log(&self, level: log::Level, status: u16, outcome: &str, reason: &str) {
+    pub fn log(&self, level: log::Level, end: &RequestEnd<'_>) {
         let head = self.lock();
         let service = head.service.as_ref().map_or("", ServiceId::as_str);
         let account = head.account.as_ref().map_or("", AccountId::as_str);
@@ -92,9 +105,10 @@
             service = service,
             account = account,
             revision = head.revision,
-            status = status,
-            outcome = outcome,
-            reason = reason,
+            status = end.status,
+            outcome = end.outcome,
+            reason = end.reason,
+            retry_after_ms = end.retry_after.map_or(0, |after| after.as_millis() as u64),
             total_ms = self.elapsed().as_millis() as u64,
             steps = steps_text(&head.steps).as_str();
             "ingress: request ended."
