Don't open a gate for answers to requests of before it closed

Cause: a busy server that begins to lose connections still answers what it took before.

Change: a good answer counts for a closed gate only if its request was sent since.

--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -102,3 +102,80 @@
     assert!(ledger.held.is_empty(), "{:?}", ledger.held);
     assert_eq!(ledger.late, 0);
 }
+
+/// Jobs of the highest rank at a rate, with a patient one of a lower rank two
+/// times a second; gives how many of these ran, and how long the others were
+/// held.
+fn play_ranks(first_per_second: u64) -> (u32, Vec<Duration>) {
+    const PATIENT: Duration = Duration::from_secs(12);
+    let mut queue = SlotQueue::new(QueueLimits::for_slots(Slots(SLOTS)));
+    let mut ends: Vec<(MonoTime, JobId)> = Vec::new();
+    let mut patient: FastMap<JobId, MonoTime> = FastMap::default();
+    let (mut ran, mut held, mut number) = (0, Vec::new(), 0);
+    for millis in 1..30_000_u64 {
+        let now = MonoTime::from_millis(millis);
+        let mut events = vec![Event::Tick];
+        let over = ends.extract_if(.., |(end, _)| *end <= now);
+        events.extend(over.map(|(_, id)| Event::Finish(id)));
+        let mut arrive = |rank: Rank, deadline: Duration| {
+            number += 1;
+            if rank > Rank(0) {
+                patient.insert(JobId(number), now);
+            }
+            events.push(Event::Arrive(Job {
+                id: JobId(number),
+                account: None,
+                rank,
+                lot: Lot(0),
+                internal: false,
+                bulk: false,
+                weight: Weight(1),
+                target: now + TARGET,
+                deadline: now + deadline,
+            }));
+        };
+        if millis % (1_000 / first_per_second) == 0 {
+            arrive(Rank(0), DEADLINE);
+        }
+        if millis % 500 == 0 {
+            arrive(Rank(2), PATIENT);
+        }
+        for event in events {
+            for action in queue.handle(now, event) {
+                match action {
+                    Action::Dispatch(id) => {
+                        ran += u32::from(patient.remove(&id).is_some());
+                        ends.push((now + WORK, id));
+                    }
+                    Action::Refuse(id, _) => {
+                        held.extend(patient.remove(&id).map(|came| now.since(came)));
+                    }
+                }
+            }
+        }
+    }
+    (ran, held)
+}
+
+#[test]
+fn hopeless_rank_is_told_early() {
+    // Pattern: calls of running requests take all slots, and go first. What is
+    // of a lower rank is not held until its deadline for slots that never come.
+    let (ran, held) = play_ranks(32);
+    assert!(ran <= 15, "{ran}");
+    let late: Vec<_> = held.iter().filter(|held| **held > DEADLINE).collect();
+    // The first few wait until the load of the others is known.
+    assert!(
+        late.len() * 5 <= held.len(),
+        "{} of {}",
+        late.len(),
+        held.len()
+    );
+}
+
+#[test]
+fn lower_rank_runs_beside_the_others() {
+    let (ran, held) = play_ranks(20);
+    assert_eq!(held, []);
+    assert!(ran >= 55, "{ran}");
+}
--- a/crates/health/src/gate.rs
+++ b/crates/health/src/gate.rs
@@ -87,6 +87,8 @@
     /// End of the latest trial, or when the gate closed.
     tried: MonoTime,
     gap: Duration,
+    /// When the gate closed for the last time.
+    closed: MonoTime,
 }
 
 impl Default for ServerGate {
@@ -98,6 +100,7 @@
             unproved: false,
             tried: MonoTime::ZERO,
             gap: TRIAL_GAP,
+            closed: MonoTime::ZERO,
         }
     }
 }
@@ -127,6 +130,7 @@
             true if !before => {
                 self.unproved = true;
                 self.tried = now;
+                self.closed = now;
                 self.gap = TRIAL_GAP;
             }
             true => {}
@@ -134,6 +138,14 @@
         }
     }
 
+    /// Takes a good answer to a request that was sent at `sent`. One that was
+    /// sent before the gate closed does not show that the server is well again.
+    pub fn note_good(&mut self, now: MonoTime, sent: MonoTime) {
+        if !self.is_closed(now) || sent >= self.closed {
+            self.note(now, Outcome::Good);
+        }
+    }
+
     /// Whether a request may be sent; `repeatable` if it may run twice.
     pub fn ask(&mut self, now: MonoTime, repeatable: bool) -> Verdict {
         let waited = now.since(self.tried);
--- a/crates/health/tests/server_gate.rs
+++ b/crates/health/tests/server_gate.rs
@@ -107,3 +107,21 @@
     gate.note(at(5_000), Outcome::Lost);
     assert_eq!(gate.ask(at(5_800), true), Verdict::Trial);
 }
+
+#[test]
+fn earlier_requests_prove_nothing() {
+    // Pattern: a busy server begins to fail. Requests that it took before still
+    // end well, and would open the gate again at once.
+    let mut gate = known_gate();
+    gate.note(at(3_000), Outcome::Lost);
+    for millis in [3_010, 3_100, 3_200, 3_300] {
+        gate.note_good(at(millis), at(2_900));
+        assert!(gate.is_closed(at(millis)), "{millis}");
+    }
+    let mut now = 3_400;
+    while gate.is_closed(at(now)) {
+        assert!(now < 4_000, "never opened");
+        gate.note_good(at(now + 50), at(now));
+        now += 50;
+    }
+}
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -112,10 +112,22 @@
     /// Takes an outcome into the gate, and tells recent ingresses if it closed
     /// or opened.
     fn note_outcome(&self, outcome: Outcome) {
+        self.change_gate(outcome, |gate, now| gate.note(now, outcome));
+    }
+
+    /// Takes a good answer to a request that ran for `service`.
+    fn note_good(&self, service: Duration) {
+        self.change_gate(Outcome::Good, |gate, now| {
+            gate.note_good(now, now - service)
+        });
+    }
+
+    /// Changes the gate by an outcome.
+    fn change_gate(&self, outcome: Outcome, change: impl FnOnce(&mut ServerGate, MonoTime)) {
         let now = self.clock.now();
         let mut gate = self.gate();
         let before = gate.is_closed(now);
-        gate.note(now, outcome);
+        change(&mut gate, now);
         let after = gate.is_closed(now);
         let odds = gate.odds(now);
         drop(gate);
@@ -360,7 +372,7 @@
         match failed {
             true if excused => {}
             true => self.note_outcome(Outcome::Error),
-            false if !overdue => self.note_outcome(Outcome::Good),
+            false if !overdue => self.note_good(service),
             false => {}
         }
         match shed {
