--- a/soak/play.rs
+++ b/soak/play.rs
@@ -29,6 +29,8 @@
 const RETRY_EVERY: Duration = Duration::from_millis(100);
 /// Traffic between the graceful ends of the calm.
 const CALM: Duration = Duration::from_millis(500);
+/// Work of a request in the calm.
+const CALM_WORK: Duration = Duration::from_millis(250);
 
 /// Plays a run and gives what was found wrong.
 pub async fn play(shape: RunShape) -> Vec<String> {
@@ -245,9 +247,13 @@
     findings
 }
 
-/// Ends each daemon in turn under traffic, and starts it again.
+/// Ends each daemon in turn under traffic, and starts it again. Servers take
+/// their time, so that there is always something in flight.
 async fn end_in_turn(fleet: &SoakFleet, seed: u64) -> (Vec<Outcome>, Vec<String>) {
     let over = AtomicBool::new(false);
+    for backend in &fleet.backends {
+        backend.set_behaviour(Behaviour::Slow(CALM_WORK));
+    }
     let ends = async {
         let mut findings = Vec::new();
         for place in 0..fleet.daemons.len().min(8) {
