--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod flow;
 mod job;
+mod order;
 mod queue;
 
 pub use job::{Action, Event, Job, JobId, Refusal};
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -1,16 +1,14 @@
 //! The queue itself.
 
-use std::{
-    cmp::{Ordering, Reverse},
-    time::Duration,
-};
+use std::{cmp::Reverse, time::Duration};
 
-use ids::{AccountId, FastMap, Lot, MonoTime, Rank, Slots};
+use ids::{AccountId, FastMap, Lot, MonoTime, Slots};
 
 use crate::{
     demand::ArrivalWindow,
     flow::{FlowCharge, FlowTable},
     job::{Action, Event, Job, JobId, Refusal},
+    order::{ClassCounts, JobPlace},
 };
 
 /// Time after which jobs held back by a reserve are looked at again.
@@ -68,63 +66,6 @@
     bulk: bool,
 }
 
-/// Class of a job by internal work and rank, and its place in it.
-type JobClass = (bool, Rank, Reverse<Lot>);
-
-/// Class of a job.
-fn class_of(job: &Job) -> JobClass {
-    (job.internal, job.rank, Reverse(job.lot))
-}
-
-/// Classes of all waiting jobs, in order. Made once for a pass over all of
-/// them, which would take quadratic time otherwise.
-#[derive(Clone, Debug)]
-struct ClassCounts(Vec<JobClass>);
-
-impl ClassCounts {
-    /// Counts jobs.
-    fn new(jobs: &[Job]) -> Self {
-        let mut classes: Vec<JobClass> = jobs.iter().map(class_of).collect();
-        classes.sort_unstable();
-        Self(classes)
-    }
-
-    /// Jobs of the job's class and of those that go before it.
-    fn up_to(&self, job: &Job) -> usize {
-        let class = class_of(job);
-        self.0.partition_point(|other| *other <= class)
-    }
-}
-
-/// A waiting job, as it compares to another one that came before it.
-#[derive(Clone, Copy, Debug)]
-struct JobPlace {
-    /// Internal work, rank, and whether it is late.
-    class: (bool, Rank, bool),
-    /// Virtual start time of its account.
-    start: f64,
-    lot: Lot,
-    place: usize,
-}
-
-impl JobPlace {
-    /// Whether it is to run before `other`. Jobs of one account start at the
-    /// same time: the higher lot goes first then, so that calls of one piece of
-    /// work fare alike at all servers; and among equals, if the queue is
-    /// pressed, the one that came last.
-    fn goes_before(&self, other: &Self, pressed: bool) -> bool {
-        match self.class.cmp(&other.class) {
-            Ordering::Equal => {}
-            order => return order.is_lt(),
-        }
-        match self.start.total_cmp(&other.start) {
-            Ordering::Equal => {}
-            order => return order.is_lt(),
-        }
-        self.lot > other.lot || (self.lot == other.lot && pressed)
-    }
-}
-
 /// Slot and queue authority of one backend server.
 #[derive(Clone, Debug)]
 pub struct SlotQueue {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 mod backend;
 mod deployment;
 mod platform;
+mod publisher;
 mod raw;
 mod relay;
 mod server;
@@ -14,6 +15,7 @@
 pub use backend::{BackendStub, Behaviour, ECHO_HEADER, RUN_HEADER};
 pub use deployment::{Deployment, DeploymentShape, ServiceShape};
 pub use platform::{PlatformFault, PlatformStub};
+pub use publisher::SetPublisher;
 pub use raw::RawStub;
 pub use relay::DropRelay;
 pub use server::{StubBody, StubServer, full_body};
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -2,6 +2,7 @@
 
 mod probed;
 mod server;
+mod slot;
 
 use std::{
     sync::{
@@ -24,7 +25,7 @@
 use tokio::sync::{Notify, oneshot};
 
 pub use self::probed::ProbedServer;
-use self::server::{EgressServer, HeldSlot};
+use self::{server::EgressServer, slot::HeldSlot};
 use crate::{
     body::ProxyBody,
     clock::MonoClock,
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -17,7 +17,10 @@
 use ids::{MonoTime, ServerId, Slots};
 use tokio::sync::{Notify, oneshot};
 
-use super::{EgressAnswer, lock_calls};
+use super::{
+    EgressAnswer, lock_calls,
+    slot::{GatePass, HeldSlot, SlotTicket},
+};
 use crate::{
     body::{BodyEnd, GuardedBody, ProxyBody, StallBody},
     clock::MonoClock,
@@ -145,7 +148,7 @@
     }
 
     /// The gate; no holder panics.
-    fn gate(&self) -> MutexGuard<'_, ServerGate> {
+    pub(super) fn gate(&self) -> MutexGuard<'_, ServerGate> {
         self.gate
             .lock()
             .unwrap_or_else(|poison| poison.into_inner())
@@ -498,48 +501,3 @@
             .unwrap_or_else(|poison| poison.into_inner())
     }
 }
-
-/// Right to send one request to a backend server.
-#[derive(Debug)]
-pub(super) struct GatePass {
-    server: Arc<EgressServer>,
-    trial: bool,
-    good: bool,
-}
-
-impl Drop for GatePass {
-    fn drop(&mut self) {
-        if self.trial {
-            let now = self.server.clock.now();
-            self.server.gate().end_trial(now, self.good);
-        }
-    }
-}
-
-/// What a request holds while it is at a backend server.
-#[derive(Debug)]
-pub(super) struct HeldSlot {
-    #[expect(dead_code, reason = "frees the slot when it is dropped")]
-    pub(super) ticket: SlotTicket,
-    pub(super) pass: GatePass,
-}
-
-/// A place in the queue or a slot, given back when dropped.
-#[derive(Debug)]
-pub(super) struct SlotTicket {
-    server: Arc<EgressServer>,
-    id: JobId,
-}
-
-impl Drop for SlotTicket {
-    fn drop(&mut self) {
-        let now = self.server.clock.now();
-        let mut desk = self.server.lock();
-        desk.waiters.remove(&self.id);
-        let event = match desk.queue.is_running(self.id) {
-            true => Event::Finish(self.id),
-            false => Event::Cancel(self.id),
-        };
-        desk.handle(now, event);
-    }
-}
--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -8,9 +8,11 @@
     time::Duration,
 };
 
-use config::{Changes, ConfigTable, Record, TableBuilder, parse_changes, publish_set};
-use fakes::{BackendStub, Deployment, DeploymentShape, DropRelay, PlatformStub, ServiceShape};
-use ids::{Revision, TokenRate};
+use config::Record;
+use fakes::{
+    BackendStub, Deployment, DeploymentShape, DropRelay, PlatformStub, ServiceShape, SetPublisher,
+};
+use ids::TokenRate;
 
 use crate::{
     args::RunShape,
@@ -34,12 +36,6 @@
 /// Rate and burst of the others.
 const PLENTY: u64 = 100_000;
 
-/// What is published, one revision after another.
-struct Publisher {
-    before: Option<(ConfigTable, Changes)>,
-    revision: u64,
-}
-
 /// All that a run has started.
 pub struct SoakFleet {
     pub daemons: Vec<Mutex<Option<DaemonProcess>>>,
@@ -51,7 +47,7 @@
     pub server_relays: Vec<DropRelay>,
     pub platform: PlatformStub,
     pub deployment: Deployment,
-    publisher: Mutex<Publisher>,
+    publisher: Mutex<SetPublisher>,
     logs: PathBuf,
 }
 
@@ -103,10 +99,7 @@
             peer_relays,
             server_relays,
             platform,
-            publisher: Mutex::new(Publisher {
-                before: None,
-                revision: 0,
-            }),
+            publisher: Mutex::default(),
             deployment,
             logs,
         };
@@ -181,21 +174,7 @@
 
     /// Publishes records as the next revision.
     pub fn publish(&self, records: &[Record]) {
-        let mut publisher = lock(&self.publisher);
-        let before = publisher.before.as_ref();
-        let before = before.map(|(table, changes)| (table, changes));
-        let values = publish_set(before, records).expect("the records are sound");
-        let changes = values.iter().find(|value| value.name == "changes");
-        let changes = changes.expect("each set has its changes");
-        let changes = parse_changes(&changes.bytes).expect("it was just packed");
-        publisher.revision += 1;
-        let mut builder = TableBuilder::new();
-        for record in records {
-            builder.put(record.clone()).expect("the records are sound");
-        }
-        let state = builder.state();
-        let table = builder.finish(Revision(publisher.revision), state);
-        publisher.before = Some((table.expect("the state is its own"), changes));
+        let values = lock(&self.publisher).pack(records);
         self.platform.publish(&values);
     }
 
