Carry nothing over a cut relay

The relay of the tests looked at either its stream or the cut when both were ready, so an answer that left right after the cut was sometimes carried. Ruled out: the daemons; the answer went through the relay, which was cut before the backend server was released. Change: what is read is dropped if the stream was cut since it began. Conclusion: a fault of the test's relay; the check stays as it was.

--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -140,8 +140,8 @@
     };
     let (from_caller, to_caller) = stream.into_split();
     let (from_target, to_target) = out.into_split();
-    let forth = copy_held(from_caller, to_target, signals.paused.clone());
-    let back = copy_held(from_target, to_caller, signals.paused.clone());
+    let forth = copy_held(from_caller, to_target, signals.clone());
+    let back = copy_held(from_target, to_caller, signals.clone());
     tokio::select! {
         _ = async { tokio::join!(forth, back) } => {}
         _ = signals.cut_seen.changed() => {}
@@ -152,12 +152,16 @@
 async fn copy_held(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
-    mut paused: watch::Receiver<bool>,
+    mut signals: RelaySignals,
 ) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
     loop {
         let length = from.read(&mut buffer).await?;
-        let _ = paused.wait_for(|paused| !paused).await;
+        let _ = signals.paused.wait_for(|paused| !paused).await;
+        // What was sent after a cut may be read before the cut is noticed.
+        if signals.cut_seen.has_changed().unwrap_or(true) {
+            return Ok(());
+        }
         match length {
             0 => return to.shutdown().await,
             _ => to.write_all(&buffer[..length]).await?,
--- /dev/null
+++ b/crates/fakes/tests/drop_relay.rs
@@ -0,0 +1,32 @@
+//! The relay in front of a daemon: what is sent after a cut never arrives.
+
+use fakes::DropRelay;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// Cuts that are tried: the stream and the cut are ready at the same moment,
+/// and which one the relay looks at first is drawn.
+const CUTS: u32 = 500;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 1)]
+async fn cut_stream_carries_nothing() {
+    // Pattern: a backend server's answer leaves right after the cut.
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let relay = DropRelay::start().await.unwrap();
+    relay.set_target(target.local_addr().unwrap());
+    for _ in 0..CUTS {
+        let mut caller = TcpStream::connect(relay.address()).await.unwrap();
+        caller.write_all(b"?").await.unwrap();
+        let (mut server, _) = target.accept().await.unwrap();
+        server.read_exact(&mut [0]).await.unwrap();
+        relay.set_cut(true);
+        server.write_all(b"answer").await.unwrap();
+        let mut got = Vec::new();
+        let _ = caller.read_to_end(&mut got).await;
+        assert_eq!(got, b"", "it was carried");
+        relay.set_cut(false);
+    }
+    relay.stop().await;
+}
