Never mint for an account what another home still has out

Cause, found by reading what single-token leases had hinted at: (1) the new home of an account minted at once when the earlier one had adopted the same members, while leases of that one were unspent for up to 0.44 s; (2) an account that came back to a home within 10 s found its old stock there; (3) a home that was cut off kept its stock, and after its return gave out a second whole burst beside the one that its deputy had given out. Change: the wait counts the earlier leases; buckets of moved accounts are forgotten at once; returns of shares are remembered with the number of shares kept, and stock is capped by them. Before: both tests of moved_homes.rs go over the limit; each part undone alone makes one of them fail. After: pass, as do the fuzz test and shared_rate.

--- a/crates/limit/src/home.rs
+++ b/crates/limit/src/home.rs
@@ -9,7 +9,7 @@
 /// Time for which a lease may be spent, from the moment of the ask.
 pub(crate) const LEASE_TIME: Duration = Duration::from_millis(400);
 /// Time for which the home counts a lease: longer, for clocks that drift.
-const COUNTED_TIME: Duration = Duration::from_millis(440);
+pub(crate) const COUNTED_TIME: Duration = Duration::from_millis(440);
 /// Time after which a larger share is used. Other groups may still mint by
 /// the older, larger share of their own until they have heard.
 const RAISE_DELAY: Duration = Duration::from_secs(10);
@@ -52,14 +52,14 @@
 
 impl AccountHome {
     /// A bucket that was empty when `held.total` was `since`.
-    pub(crate) fn new(share: LimitShare, held: HeldShares, since: Duration) -> Self {
+    pub(crate) fn new(share: LimitShare, held: &HeldShares, since: Duration) -> Self {
         Self {
             share,
             raise: None,
             level: TokenAmount::ZERO,
             held: HeldShares {
                 total: since,
-                ..held
+                ..held.clone()
             },
             leases: Vec::new(),
         }
@@ -79,7 +79,7 @@
             _ => self.raise = Some((now + RAISE_DELAY, share)),
         }
         self.share = self.share.min(share);
-        self.level = self.level.min(self.room());
+        self.level = self.level.min(self.room(self.held.held, self.held.all));
     }
 
     /// Grants up to `want` whole tokens as a lease.
@@ -113,7 +113,7 @@
         // hold a token; it frees room in the bucket all the same, since a
         // spent token is no longer in stock.
         let back = TokenAmount::whole(u64::from(amount.min(lease.amount)));
-        self.level = (self.level + back).min(self.room());
+        self.level = (self.level + back).min(self.room(self.held.held, self.held.all));
     }
 
     /// Time until there is a whole token.
@@ -129,13 +129,13 @@
         self.leases.is_empty() && self.raise.is_none() && self.level == self.share.burst
     }
 
-    /// Most that the bucket may hold beside the unexpired leases.
-    fn room(&self) -> TokenAmount {
+    /// Most that the bucket may hold beside the unexpired leases, by `held` of
+    /// `all` shares.
+    fn room(&self, held: u32, all: u32) -> TokenAmount {
         let out = self
             .leases
             .iter()
             .map(|lease| TokenAmount::whole(u64::from(lease.amount)));
-        let HeldShares { held, all, .. } = self.held;
         let burst = self.share.burst.part(held, all);
         burst.saturating_sub(out.sum())
     }
@@ -147,12 +147,25 @@
             self.share = share;
             self.raise = None;
         }
-        let span = held.total.saturating_sub(self.held.total) / held.all.max(1);
+        for back in &held.returns {
+            if back.total > self.held.total {
+                self.mint_until(back.total, held.all);
+                self.level = self.level.min(self.room(back.kept, held.all));
+            }
+        }
+        self.mint_until(held.total, held.all);
         self.held = HeldShares {
             total: held.total.max(self.held.total),
             ..held
         };
+        self.level = self.level.min(self.room(self.held.held, self.held.all));
+    }
+
+    /// Mints for the time held until `total`, up to the whole burst.
+    fn mint_until(&mut self, total: Duration, all: u32) {
+        let span = total.saturating_sub(self.held.total) / all.max(1);
+        self.held.total = total.max(self.held.total);
         let minted = self.share.rate.over(span);
-        self.level = (self.level + minted).min(self.room());
+        self.level = (self.level + minted).min(self.share.burst);
     }
 }
--- a/crates/limit/src/mint.rs
+++ b/crates/limit/src/mint.rs
@@ -68,7 +68,7 @@
             burst: limit.burst.share(groups),
         };
         let since = self.shares[&cell].empty_since(now, account)?;
-        let fresh = || AccountHome::new(share, held, since);
+        let fresh = || AccountHome::new(share, &held, since);
         let home = self.homes.entry(account.clone()).or_insert_with(fresh);
         if home.generation() != held.generation {
             *home = fresh();
--- a/crates/limit/src/node.rs
+++ b/crates/limit/src/node.rs
@@ -249,6 +249,15 @@
         }
         self.ways.retain(|vm, _| map.contains(vm));
         self.map = map;
+        self.forget_moved(now);
+    }
+
+    /// Forgets buckets of accounts that others mint for now: they are not as
+    /// full as here if the accounts come back.
+    fn forget_moved(&mut self, now: MonoTime) {
+        let mut homes = std::mem::take(&mut self.homes);
+        homes.retain(|account, _| self.held(now, account).is_some());
+        self.homes = homes;
     }
 
     /// Handles a message of a daemon, or of this one to itself.
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -9,13 +9,17 @@
 //!
 //! Loans count from the moment at which the home asked, and end for the owner
 //! later than for the home, so neither delays nor stops of a process make
-//! them overlap.
+//! them overlap. The surprising part: a home to which a share comes back takes
+//! it as empty, since another may have given its burst out meanwhile.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use ids::{AccountId, FastMap, FastSet, MonoTime, VmId};
 
-use crate::cell::{home_among, members_digest};
+use crate::{
+    cell::{home_among, members_digest},
+    home::COUNTED_TIME,
+};
 
 /// Time for which a share is lent, from the moment at which the home asks.
 const LOAN_TIME: Duration = Duration::from_millis(2_400);
@@ -94,10 +98,46 @@
     retired: Duration,
     /// Rises when this daemon takes the accounts over anew.
     generation: u64,
+    /// Returns of shares, with ever more shares kept meanwhile: one that kept
+    /// no more than a later one says nothing beside it.
+    returns: Vec<ShareReturn>,
 }
 
-/// Shares held of an account's home, for minting.
+impl Bucket {
+    /// Time held of all shares.
+    fn total(&self, now: MonoTime) -> Duration {
+        let held = self.owners.values().map(|held| held.total(now));
+        self.retired + held.sum::<Duration>()
+    }
+
+    /// Shares held now.
+    fn held_count(&self, now: MonoTime) -> u32 {
+        self.owners
+            .values()
+            .filter(|held| held.is_held(now))
+            .count() as u32
+    }
+
+    /// Notes that a share is back which was not held for a while.
+    fn note_return(&mut self, now: MonoTime) {
+        let total = self.total(now);
+        let kept = self.held_count(now);
+        self.returns.retain(|earlier| earlier.kept < kept);
+        self.returns.push(ShareReturn { total, kept });
+    }
+}
+
+/// A share that came back, and was perhaps used by another meanwhile.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct ShareReturn {
+    /// Time held of all shares until then.
+    pub(crate) total: Duration,
+    /// Shares that were still held.
+    pub(crate) kept: u32,
+}
+
+/// Shares held of an account's home, for minting.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct HeldShares {
     /// Sum over all owners of the time for which their shares were held.
     pub(crate) total: Duration,
@@ -107,6 +147,8 @@
     pub(crate) all: u32,
     /// Number of the takeover by which they are held.
     pub(crate) generation: u64,
+    /// Returns of shares, in the order of time.
+    pub(crate) returns: Vec<ShareReturn>,
 }
 
 /// An ask of a home for all shares of its accounts.
@@ -237,7 +279,10 @@
             return Some(Duration::ZERO);
         };
         match self.adopted.get(home) {
-            Some((digest, total)) if *digest == self.digest => Some(*total),
+            // Its leases may be unspent yet.
+            Some((digest, total)) if *digest == self.digest => {
+                Some(*total + COUNTED_TIME * self.share_count(now))
+            }
             _ if now.since(view.ended) < OWNER_TIME => None,
             _ => Some(view.total + OWNER_TIME * self.share_count(now)),
         }
@@ -358,13 +403,13 @@
     /// Shares held of the accounts of `home`, if any.
     pub(crate) fn shares(&self, now: MonoTime, home: &VmId) -> Option<HeldShares> {
         let bucket = self.held.get(home)?;
-        let held = bucket.owners.values().filter(|held| held.is_held(now));
-        let held = held.count() as u32;
+        let held = bucket.held_count(now);
         (held > 0).then(|| HeldShares {
-            total: self.bucket_total(now, home),
+            total: bucket.total(now),
             held,
             all: self.share_count(now),
             generation: bucket.generation,
+            returns: bucket.returns.clone(),
         })
     }
 
@@ -380,11 +425,8 @@
 
     /// Sum of the time for which shares of a home's accounts were held.
     fn bucket_total(&self, now: MonoTime, home: &VmId) -> Duration {
-        let Some(bucket) = self.held.get(home) else {
-            return Duration::ZERO;
-        };
-        let held = bucket.owners.values().map(|held| held.total(now));
-        bucket.retired + held.sum::<Duration>()
+        let bucket = self.held.get(home);
+        bucket.map_or(Duration::ZERO, |bucket| bucket.total(now))
     }
 
     /// Lends the own share of the accounts of the home at a place, if `to` is
@@ -434,14 +476,18 @@
         let home = self.members[place].clone();
         let own = home == self.vm;
         let bucket = self.held.entry(home).or_default();
-        let lost = !bucket.owners.values().any(|held| held.is_held(now));
-        if lost && !own {
+        let known = bucket.owners.get(owner);
+        let lapsed = known.is_some_and(|held| !held.is_held(now));
+        if bucket.held_count(now) == 0 && !own {
             // The accounts were with others meanwhile, who spent their burst.
             self.generation += 1;
             *bucket = Bucket {
                 generation: self.generation,
                 ..Bucket::default()
             };
+        } else if lapsed && !(own && *owner == self.vm) {
+            // The own share of the own accounts is never lent to others.
+            bucket.note_return(now);
         }
         let held = bucket.owners.entry(owner.clone()).or_default();
         if held.until == MonoTime::ZERO {
--- /dev/null
+++ b/crates/limit/tests/moved_homes.rs
@@ -0,0 +1,76 @@
+//! An account's home moves while leases of the earlier one are unspent.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::FakeFleet;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const DAEMONS: usize = 9;
+
+/// Asks for `count` tokens at each daemon but one, every 100 ms.
+fn flood(fleet: &mut FakeFleet, span: Duration, count: u8, but: usize) {
+    let step = Duration::from_millis(100);
+    for _ in 0..span.as_millis() / step.as_millis() {
+        let others = (0..DAEMONS).filter(|daemon| *daemon != but);
+        others.for_each(|daemon| fleet.take(daemon, count));
+        fleet.pass(step);
+    }
+}
+
+/// Cuts one daemon off from all others, or joins it again.
+fn set_cut(fleet: &mut FakeFleet, daemon: usize, cut: bool) {
+    for other in 0..DAEMONS {
+        fleet.set_cut(daemon, other, cut);
+        fleet.set_cut(other, daemon, cut);
+    }
+}
+
+#[test]
+fn leases_of_both_homes_fit_the_burst() {
+    for seed in 0..40 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = FakeFleet::new(DAEMONS, 1, 100, 20);
+        fleet.pass(Duration::from_secs(12));
+        for _ in 0..6 {
+            // Bursts here and there leave unspent leases everywhere.
+            for _ in 0..rng.random_range(1..30) {
+                fleet.take(rng.random_range(0..DAEMONS), rng.random_range(1..12));
+                fleet.pass(Duration::from_millis(rng.random_range(0..120)));
+            }
+            let home = fleet.home();
+            fleet.list(home, false);
+            fleet.learn_all();
+            for _ in 0..rng.random_range(1..8) {
+                fleet.pass(Duration::from_millis(rng.random_range(0..200)));
+                for daemon in 0..DAEMONS {
+                    fleet.take(daemon, 8);
+                }
+            }
+            fleet.pass(Duration::from_millis(rng.random_range(0..4_000)));
+            fleet.list(home, true);
+            fleet.learn_all();
+            fleet.pass(Duration::from_millis(rng.random_range(0..4_000)));
+        }
+        fleet.check_never_over();
+    }
+}
+
+#[test]
+fn returned_home_has_no_second_burst() {
+    // The home is cut off, its deputy gives a burst out, and the home comes
+    // back with the account as full as it was.
+    let mut fleet = FakeFleet::new(DAEMONS, 1, 5, 100);
+    fleet.pass(Duration::from_secs(30));
+    let home = fleet.home();
+    set_cut(&mut fleet, home, true);
+    // The deputy mints from nothing, so it has a burst only later.
+    fleet.pass(Duration::from_secs(40));
+    flood(&mut fleet, Duration::from_millis(500), 20, home);
+    set_cut(&mut fleet, home, false);
+    // Nobody asks until the home has all shares again.
+    fleet.pass(Duration::from_secs(4));
+    flood(&mut fleet, Duration::from_secs(4), 20, home);
+    fleet.check_never_over();
+}
