--- a/crates/config/tests/delta_fuzz.rs
+++ b/crates/config/tests/delta_fuzz.rs
@@ -1,5 +1,8 @@
 //! Deltas and whole sets lead to the same table, and revisions never fall.
 
+mod accounts;
+
+use accounts::account;
 use config::{
     Account, ConfigError, ConfigTable, Record, TableBuilder, parse_changes, parse_manifest,
     parse_part, publish_set,
@@ -7,22 +10,12 @@
 use ids::{Revision, TokenAmount, TokenRate, Weight};
 use proptest::{prelude::*, test_runner::RngSeed};
 
-fn account(number: u8, rate: u64) -> Record {
-    Record::Account(Account {
-        id: format!("account-{number}").parse().unwrap(),
-        rate: TokenRate::per_second(rate),
-        burst: TokenAmount::whole(10),
-        weight: Weight(1),
-        rank: None,
-    })
-}
-
 /// Records with one account for each number.
 fn records(accounts: &[(u8, u64)]) -> Vec<Record> {
     let unique: std::collections::BTreeMap<u8, u64> = accounts.iter().copied().collect();
     unique
         .into_iter()
-        .map(|(number, rate)| account(number, rate))
+        .map(|(number, rate)| account(u16::from(number), rate))
         .collect()
 }
 
--- a/crates/config/tests/table_patch.rs
+++ b/crates/config/tests/table_patch.rs
@@ -1,21 +1,14 @@
 //! Patches between tables that share no history: small, exact, checked.
 
+mod accounts;
+
 use std::collections::BTreeMap;
 
-use config::{Account, BucketDigests, ConfigTable, Record, TableBuilder, TablePatch};
-use ids::{Revision, TokenAmount, TokenRate, Weight};
+use accounts::account;
+use config::{BucketDigests, ConfigTable, TableBuilder, TablePatch};
+use ids::Revision;
 use proptest::{prelude::*, test_runner::RngSeed};
 
-fn account(number: u16, rate: u64) -> Record {
-    Record::Account(Account {
-        id: format!("account-{number}").parse().unwrap(),
-        rate: TokenRate::per_second(rate),
-        burst: TokenAmount::whole(10),
-        weight: Weight(1),
-        rank: None,
-    })
-}
-
 fn table(revision: u64, accounts: &BTreeMap<u16, u64>) -> ConfigTable {
     let mut builder = TableBuilder::new();
     for (number, rate) in accounts {
--- a/tests/fleet_control.rs
+++ b/tests/fleet_control.rs
@@ -4,30 +4,16 @@
 
 use std::time::Duration;
 
-use config::{ConfigTable, Record, TableBuilder, parse_changes, publish_set};
-use fakes::PlatformFault;
+use config::Record;
+use fakes::{PlatformFault, SetPublisher};
 use harness::{Fleet, FleetShape, new_client, send_with};
 use hyper::{Method, StatusCode};
 use ids::{Revision, TokenAmount, TokenRate};
 
-/// The table and changes that were published for `records`.
-fn published(records: &[Record]) -> (ConfigTable, config::Changes) {
-    let values = publish_set(None, records).unwrap();
-    let changes = values.iter().find(|value| value.name == "changes").unwrap();
-    let mut builder = TableBuilder::new();
-    for record in records {
-        builder.put(record.clone()).unwrap();
-    }
-    let state = builder.state();
-    let table = builder.finish(Revision(1), state).unwrap();
-    (table, parse_changes(&changes.bytes).unwrap())
-}
-
 /// Publishes changed records as the second revision.
 fn publish_second(fleet: &Fleet, records: &[Record]) {
-    let (table, changes) = published(&fleet.deployment.records);
-    let values = publish_set(Some((&table, &changes)), records).unwrap();
-    fleet.platform.publish(&values);
+    let mut publisher = SetPublisher::after(&fleet.deployment.records);
+    fleet.platform.publish(&publisher.pack(records));
 }
 
 /// Withdraws all keys and waits until that is in force.
@@ -102,8 +88,7 @@
             account.burst = TokenAmount::whole(7);
         }
     }
-    let (table, changes) = published(&fleet.deployment.records);
-    let mut values = publish_set(Some((&table, &changes)), &records).unwrap();
+    let mut values = SetPublisher::after(&fleet.deployment.records).pack(&records);
     let mut broken = values.clone();
     for value in &mut broken {
         let text = String::from_utf8(value.bytes.clone()).unwrap();
