--- a/crates/limit/src/home.rs
+++ b/crates/limit/src/home.rs
@@ -4,7 +4,7 @@
 
 use ids::{MonoTime, TokenAmount, TokenRate};
 
-use crate::{LeaseId, shares::HeldShares};
+use crate::{LeaseId, held::HeldShares};
 
 /// Time for which a lease may be spent, from the moment of the ask.
 pub(crate) const LEASE_TIME: Duration = Duration::from_millis(400);
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -14,6 +14,7 @@
 mod account;
 mod ask;
 mod cell;
+mod held;
 mod home;
 mod lease;
 mod message;
--- a/crates/limit/src/mint.rs
+++ b/crates/limit/src/mint.rs
@@ -6,10 +6,10 @@
 
 use crate::{
     cell::{CellKey, home_among},
+    held::HeldShares,
     home::{AccountHome, LEASE_TIME, LimitShare},
     message::{AskId, LeaseId, LimitMessage, TokenAnswer},
     node::LimitNode,
-    shares::HeldShares,
     step::LimitStep,
 };
 
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -9,8 +9,7 @@
 //!
 //! Loans count from the moment at which the home asked, and end for the owner
 //! later than for the home, so neither delays nor stops of a process make
-//! them overlap. The surprising part: a home to which a share comes back takes
-//! it as empty, since another may have given its burst out meanwhile.
+//! them overlap.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -18,6 +17,7 @@
 
 use crate::{
     cell::{home_among, members_digest},
+    held::{HeldBucket, HeldShares},
     home::COUNTED_TIME,
 };
 
@@ -60,97 +60,6 @@
     until: MonoTime,
 }
 
-/// Time for which one owner's share was held here.
-#[derive(Clone, Copy, Debug, Default)]
-struct HeldTime {
-    /// Sum of earlier loans.
-    before: Duration,
-    from: MonoTime,
-    until: MonoTime,
-}
-
-impl HeldTime {
-    /// All time held until `now`.
-    fn total(&self, now: MonoTime) -> Duration {
-        self.before + now.min(self.until).since(self.from)
-    }
-
-    /// Extends the loan, or begins another.
-    fn extend(&mut self, now: MonoTime, until: MonoTime) {
-        if self.until < now {
-            self.before += self.until.since(self.from);
-            self.from = now;
-        }
-        self.until = self.until.max(until);
-    }
-
-    /// Whether it is held.
-    fn is_held(&self, now: MonoTime) -> bool {
-        self.until > now
-    }
-}
-
-/// The shares that are held here of one home's accounts.
-#[derive(Clone, Debug, Default)]
-struct Bucket {
-    owners: BTreeMap<VmId, HeldTime>,
-    /// Time held of owners that have left the cell.
-    retired: Duration,
-    /// Rises when this daemon takes the accounts over anew.
-    generation: u64,
-    /// Returns of shares, with ever more shares kept meanwhile: one that kept
-    /// no more than a later one says nothing beside it.
-    returns: Vec<ShareReturn>,
-}
-
-impl Bucket {
-    /// Time held of all shares.
-    fn total(&self, now: MonoTime) -> Duration {
-        let held = self.owners.values().map(|held| held.total(now));
-        self.retired + held.sum::<Duration>()
-    }
-
-    /// Shares held now.
-    fn held_count(&self, now: MonoTime) -> u32 {
-        self.owners
-            .values()
-            .filter(|held| held.is_held(now))
-            .count() as u32
-    }
-
-    /// Notes that a share is back which was not held for a while.
-    fn note_return(&mut self, now: MonoTime) {
-        let total = self.total(now);
-        let kept = self.held_count(now);
-        self.returns.retain(|earlier| earlier.kept < kept);
-        self.returns.push(ShareReturn { total, kept });
-    }
-}
-
-/// A share that came back, and was perhaps used by another meanwhile.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct ShareReturn {
-    /// Time held of all shares until then.
-    pub(crate) total: Duration,
-    /// Shares that were still held.
-    pub(crate) kept: u32,
-}
-
-/// Shares held of an account's home, for minting.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct HeldShares {
-    /// Sum over all owners of the time for which their shares were held.
-    pub(crate) total: Duration,
-    /// Shares held now.
-    pub(crate) held: u32,
-    /// Shares that there are.
-    pub(crate) all: u32,
-    /// Number of the takeover by which they are held.
-    pub(crate) generation: u64,
-    /// Returns of shares, in the order of time.
-    pub(crate) returns: Vec<ShareReturn>,
-}
-
 /// An ask of a home for all shares of its accounts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct CollectAsk {
@@ -181,7 +90,7 @@
     /// What this member has lent, by home.
     lent: BTreeMap<VmId, OwnLoan>,
     /// What is held here, by home.
-    held: BTreeMap<VmId, Bucket>,
+    held: BTreeMap<VmId, HeldBucket>,
     asks: Vec<(u64, MonoTime)>,
     generation: u64,
     /// By which members other daemons mint, and the time held of the own
@@ -481,9 +390,9 @@
         if bucket.held_count(now) == 0 && !own {
             // The accounts were with others meanwhile, who spent their burst.
             self.generation += 1;
-            *bucket = Bucket {
+            *bucket = HeldBucket {
                 generation: self.generation,
-                ..Bucket::default()
+                ..HeldBucket::default()
             };
         } else if lapsed && !(own && *owner == self.vm) {
             // The own share of the own accounts is never lent to others.
