--- a/crates/reader/src/error.rs
+++ b/crates/reader/src/error.rs
@@ -19,6 +19,13 @@
         /// How long was waited.
         after: Duration,
     },
+    /// It answered that it does not serve for now.
+    Unavailable {
+        /// Value that was asked for.
+        name: String,
+        /// What it said.
+        cause: String,
+    },
     /// An answer that the contract does not allow.
     BadAnswer {
         /// Value that was asked for.
@@ -52,6 +59,10 @@
                 "no whole answer for {name} within {} ms; check the service's load",
                 after.as_millis()
             ),
+            Self::Unavailable { name, cause } => write!(
+                f,
+                "{name} does not serve reads for now: {cause}; check its load and rate if it lasts"
+            ),
             Self::BadAnswer { name, cause } => write!(
                 f,
                 "answer for {name} breaks the contract: {cause}; see docs/PLATFORM.md"
