Keep a large fleet's retries within the slack

Change: where a daemon's part is less than one retry it spends what it has on a draw. A request may use its own share beside what is saved.

--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -435,7 +435,8 @@
         let state = |backend: Backend| keep(&backend).or_else(|| self.make_server(backend));
         let members = self.view.table().pool_servers(&service.id);
         let budget = before.map_or_else(Arc::default, |pool| Arc::clone(&pool.budget));
-        budget.set_most(self.retry_part());
+        let slack = self.settings.load().policy.retry_slack;
+        budget.set_fleet(slack, self.view.table().vms().count());
         PoolState {
             service: Arc::clone(service),
             servers: members.into_iter().filter_map(state).collect(),
@@ -449,14 +450,6 @@
         }
     }
 
-    /// This daemon's part of the retries beyond the share: half of it is left
-    /// for those that a restart forgets.
-    fn retry_part(&self) -> f64 {
-        let daemons = self.view.table().vms().count().max(1) as f64;
-        let slack = self.settings.load().policy.retry_slack;
-        (slack / daemons / 2.0).max(1.0)
-    }
-
     /// State of a backend server that is new here.
     fn make_server(&self, backend: Backend) -> Option<Arc<ServerState>> {
         let distance = self.view.distance(&backend.vm);
