--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -1,5 +1,6 @@
 //! The egress: the backend servers of this VM, and what becomes of attempts.
 
+mod dispatch;
 mod probed;
 mod server;
 mod slot;
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -1,4 +1,4 @@
-//! One backend server: a slot, the dispatch, the answer on its way back.
+//! One backend server of this VM: its queue, its gate, and what is said of it.
 
 use std::{
     sync::{
@@ -10,33 +10,28 @@
 
 use admit::{Event, Job, JobId, Refusal};
 use config::Backend;
-use health::{CallLedger, Outcome, STUCK_FACTOR, ServerGate, Verdict};
+use health::{CallLedger, Outcome, ServerGate, Verdict};
 use hop::{OfferJob, ServerLoad};
-use http_body_util::BodyExt;
-use hyper::{Request, Response, body::Body, header::HeaderValue};
 use ids::{MonoTime, ServerId, Slots};
 use tokio::sync::{Notify, oneshot};
 
 use super::{
-    EgressAnswer, lock_calls,
-    slot::{GatePass, HeldSlot, SlotTicket},
+    EgressAnswer,
+    slot::{GatePass, SlotTicket},
 };
 use crate::{
-    body::{BodyEnd, GuardedBody, ProxyBody, StallBody},
     clock::MonoClock,
     control::{ControlEvent, ControlSender},
     desk::QueueDesk,
-    edge::{AnswerKind, DispatchHead, EdgeCodec, shed_pause},
+    edge::EdgeCodec,
     evidence::Evidence,
-    link::{LinkError, LinkPool},
-    wire::{Attempt, EgressOutcome, EgressReport, NotRun},
+    link::LinkPool,
+    wire::{EgressOutcome, EgressReport, NotRun},
 };
 
 /// Time for which a backend server is not asked after another one answered at
 /// its address.
 const REPLACED_FOR: Duration = Duration::from_secs(1);
-/// Longest pause that a backend server can ask for.
-const MAX_BACKOFF: Duration = Duration::from_secs(30);
 /// Delay that is expected on top at a backend server that is loaded by its own
 /// word: others are preferred, and nothing is refused for it.
 const LOADED_DELAY: Duration = Duration::from_millis(20);
@@ -88,7 +83,7 @@
     }
 
     /// Another server answered at its address.
-    fn note_replaced(&self) {
+    pub(super) fn note_replaced(&self) {
         let until = self.clock.now() + REPLACED_FOR;
         self.replaced_until
             .store(until.as_nanos(), Ordering::Relaxed);
@@ -114,12 +109,12 @@
 
     /// Takes an outcome into the gate, and tells recent ingresses if it closed
     /// or opened.
-    fn note_outcome(&self, outcome: Outcome) {
+    pub(super) fn note_outcome(&self, outcome: Outcome) {
         self.change_gate(outcome, |gate, now| gate.note(now, outcome));
     }
 
     /// Takes a good answer to a request that ran for `service`.
-    fn note_good(&self, service: Duration) {
+    pub(super) fn note_good(&self, service: Duration) {
         self.change_gate(Outcome::Good, |gate, now| {
             gate.note_good(now, now - service)
         });
@@ -230,198 +225,6 @@
         (ticket, verdict)
     }
 
-    /// Sends a request that holds a slot, and waits for the head.
-    pub(super) async fn dispatch(
-        self: &Arc<Self>,
-        attempt: &Attempt,
-        request: Request<ProxyBody>,
-        deadline: MonoTime,
-        held: HeldSlot,
-    ) -> EgressAnswer {
-        let started = self.clock.now();
-        let request = self.prepare(attempt, request, deadline);
-        let name = self.codec.request_name(request.headers());
-        let sent = self.links.send(request);
-        tokio::pin!(sent);
-        self.evidence.recent().note(started, &attempt.from);
-        let slow_limit = Duration::from_micros(attempt.slow_limit_us);
-        // Times at which it counts as slow and then as stuck.
-        let mut marks = match slow_limit.is_zero() {
-            true => Vec::new(),
-            false => vec![started + slow_limit * STUCK_FACTOR, started + slow_limit],
-        };
-        let mut overdue = false;
-        let result = loop {
-            let wake = marks.last().map_or(deadline, |mark| deadline.min(*mark));
-            tokio::select! {
-                result = &mut sent => break Some(result),
-                () = tokio::time::sleep_until(self.clock.instant(wake)) => {
-                    if self.clock.now() >= deadline {
-                        break None;
-                    }
-                    // It counts as slow from this moment; a server that hangs
-                    // would give no sample otherwise.
-                    marks.pop();
-                    match overdue {
-                        false => {
-                            self.evidence.note(false, true);
-                            self.note_outcome(Outcome::Overdue);
-                        }
-                        true => {
-                            self.evidence.note_stuck();
-                            self.note_outcome(Outcome::Stuck);
-                        }
-                    }
-                    overdue = true;
-                    self.give_notice();
-                }
-            }
-        };
-        let service = self.clock.now().since(started);
-        match result {
-            Some(Ok(response)) => {
-                let (head, body) = response.into_parts();
-                match self.codec.read_answer(name.as_ref(), &head) {
-                    AnswerKind::Answer => {
-                        let response = Response::from_parts(head, body);
-                        self.pass_on(response, service, overdue, held)
-                    }
-                    AnswerKind::NotRun(reason) => {
-                        match reason {
-                            NotRun::Shedding => self.note_outcome(Outcome::Rejected),
-                            NotRun::Misdirected => self.note_replaced(),
-                            _ => {}
-                        }
-                        self.refused(reason)
-                    }
-                    AnswerKind::Foreign => {
-                        log::warn!("egress: {} answered another request.", self.id);
-                        self.note_outcome(Outcome::Broken);
-                        self.note_failure(overdue);
-                        self.ended(EgressOutcome::Lost)
-                    }
-                }
-            }
-            Some(Err(LinkError::Full)) => self.refused(NotRun::Overloaded),
-            Some(Err(LinkError::Unsent(_))) => {
-                self.note_outcome(Outcome::Lost);
-                self.note_failure(overdue);
-                self.refused(NotRun::Unreachable)
-            }
-            Some(Err(LinkError::Lost(cause))) => {
-                self.log_lost(name.as_ref(), attempt, &cause, service);
-                self.note_outcome(Outcome::Lost);
-                self.note_failure(overdue);
-                self.ended(EgressOutcome::Lost)
-            }
-            None => {
-                self.note_failure(overdue);
-                self.ended(EgressOutcome::TimedOut)
-            }
-        }
-    }
-
-    /// Logs an answer that was lost.
-    fn log_lost(
-        &self,
-        name: Option<&HeaderValue>,
-        attempt: &Attempt,
-        cause: &str,
-        service: Duration,
-    ) {
-        let number = format!("{:016x}", attempt.request);
-        let name = name.and_then(|name| name.to_str().ok());
-        log::warn!(
-            request = name.unwrap_or(&number),
-            server = self.id.as_str(),
-            from = attempt.from.as_str(),
-            after_us = service.as_micros() as u64,
-            cause = cause;
-            "egress: answer of the backend server lost."
-        );
-    }
-
-    /// Makes the request that the backend server sees.
-    fn prepare(
-        &self,
-        attempt: &Attempt,
-        mut request: Request<ProxyBody>,
-        deadline: MonoTime,
-    ) -> Request<ProxyBody> {
-        let head = DispatchHead {
-            server: &self.id,
-            account: attempt.account.as_ref(),
-            caller: attempt.caller.as_ref(),
-            remaining: self.clock.until(deadline),
-        };
-        self.codec.write_dispatch(request.headers_mut(), &head);
-        request
-    }
-
-    /// Passes an answer on; the slot is free when its body has ended.
-    fn pass_on(
-        self: &Arc<Self>,
-        response: Response<ProxyBody>,
-        service: Duration,
-        overdue: bool,
-        mut held: HeldSlot,
-    ) -> EgressAnswer {
-        let (head, body) = response.into_parts();
-        let shed = shed_pause(&head).map(|pause| pause.min(MAX_BACKOFF));
-        let failed = head.status.is_server_error() && shed.is_none();
-        let excused = failed && self.is_excused(service);
-        let response = Response::from_parts(head, body);
-        held.pass.good = !failed && !overdue;
-        match failed {
-            true if excused => {}
-            true => self.note_outcome(Outcome::Error),
-            false if !overdue => self.note_good(service),
-            false => {}
-        }
-        match shed {
-            Some(pause) => self.handle(Event::Backoff(pause)),
-            None if excused => {}
-            None if failed => self.note_failure(overdue),
-            None if !overdue => self.evidence.note(false, false),
-            None => {}
-        }
-        let report = EgressReport {
-            service_us: service.as_micros() as u64,
-            ..self.report(EgressOutcome::Answered)
-        };
-        let server = Arc::clone(self);
-        let on_end = move |end| {
-            if end == BodyEnd::Broken {
-                server.note_outcome(Outcome::Broken);
-                server.note_failure(false);
-            }
-            drop(held);
-        };
-        let stall = self.stall_timeout;
-        let response = response.map(|body| {
-            let body = match body.is_end_stream() {
-                true => body,
-                false => StallBody::new(body, stall).boxed_unsync(),
-            };
-            GuardedBody::new(body, on_end).boxed_unsync()
-        });
-        EgressAnswer {
-            report,
-            response: Some(response),
-        }
-    }
-
-    /// Whether the error of a request that ran for `service` comes from a call
-    /// of its own that failed.
-    fn is_excused(&self, service: Duration) -> bool {
-        let now = self.clock.now();
-        let excused = lock_calls(&self.calls).excuse(now, now - service);
-        if excused {
-            log::debug!(server = self.id.as_str(); "egress: an error follows a failed call.");
-        }
-        excused
-    }
-
     /// Counts a failure, unless the request was counted as slow already.
     pub(super) fn note_failure(&self, overdue: bool) {
         if !overdue {
@@ -458,7 +261,7 @@
     }
 
     /// Outcome with load and evidence now.
-    fn report(&self, outcome: EgressOutcome) -> EgressReport {
+    pub(super) fn report(&self, outcome: EgressOutcome) -> EgressReport {
         EgressReport {
             outcome,
             service_us: 0,
--- /dev/null
+++ b/crates/serve/src/pool/server.rs
@@ -0,0 +1,255 @@
+//! What an ingress knows of one backend server.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use config::Backend;
+use hop::ServerLoad;
+use route::{Candidate, Distance};
+
+use crate::link::LinkPool;
+
+/// Weight of a backend server in full rotation, in thousandths.
+const FULL_WEIGHT: u32 = 1_000;
+/// Whether a canary may be sent: no, yes, one is on its way.
+const NO_CANARY: u8 = 0;
+const CANARY_WANTED: u8 = 1;
+const CANARY_SENT: u8 = 2;
+/// Weight of the newest sample in the moving average of service time.
+const SERVICE_TIME_SHIFT: u32 = 3;
+/// Age from which a reported load says nothing, in milliseconds, on top of the
+/// time in which its jobs take two turns.
+const LOAD_AGE_MS: u64 = 200;
+/// Time for which a server that is taken for failing is left out after it was
+/// last heard to be: for requests that may be its next trial, and for others.
+const FAILING_TRIAL_MS: u64 = 120;
+const FAILING_MS: u64 = 1_000;
+/// Time for which a server is left out whose daemon did not answer, first and
+/// longest; it doubles while there is no answer.
+const SILENT_MS: u64 = 150;
+const MAX_SILENT_MS: u64 = 3_000;
+
+/// A backend server as seen from here.
+#[derive(Debug)]
+pub struct ServerState {
+    /// Its record.
+    pub backend: Arc<Backend>,
+    /// Distance of its VM.
+    pub distance: Distance,
+    /// Connections to the daemon on its VM; `None` where that is this one.
+    pub links: Option<Arc<LinkPool>>,
+    in_flight: AtomicU32,
+    running: AtomicU32,
+    delay_us: AtomicU64,
+    service_us: AtomicU64,
+    /// When the egress last reported, in milliseconds from `start`.
+    reported_ms: AtomicU64,
+    start: Instant,
+    weight: AtomicU32,
+    canary: AtomicU8,
+    /// When it was last heard to be failing, in milliseconds from `start` and
+    /// one more; zero if it is not.
+    failing_ms: AtomicU64,
+    /// Offers in a row that its daemon did not answer, and until when it is
+    /// left out, in milliseconds from `start`.
+    unanswered: AtomicU32,
+    silent_until_ms: AtomicU64,
+}
+
+impl ServerState {
+    /// State of a backend server of which nothing is known yet.
+    pub(super) fn new(backend: Backend, distance: Distance, links: Option<Arc<LinkPool>>) -> Self {
+        Self {
+            backend: Arc::new(backend),
+            distance,
+            links,
+            in_flight: AtomicU32::new(0),
+            running: AtomicU32::new(0),
+            delay_us: AtomicU64::new(0),
+            service_us: AtomicU64::new(0),
+            reported_ms: AtomicU64::new(0),
+            start: Instant::now(),
+            weight: AtomicU32::new(FULL_WEIGHT),
+            canary: AtomicU8::new(NO_CANARY),
+            failing_ms: AtomicU64::new(0),
+            unanswered: AtomicU32::new(0),
+            silent_until_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Notes whether its egress keeps ordinary requests away.
+    pub fn note_gate(&self, closed: bool) {
+        let heard = match closed {
+            true => self.age_ms() + 1,
+            false => 0,
+        };
+        self.failing_ms.store(heard, Ordering::Relaxed);
+    }
+
+    /// Whether a request should go elsewhere, by what was last heard.
+    pub fn is_failing(&self, repeatable: bool) -> bool {
+        let span = match repeatable {
+            true => FAILING_TRIAL_MS,
+            false => FAILING_MS,
+        };
+        match self.failing_ms.load(Ordering::Relaxed) {
+            0 => false,
+            heard => self.age_ms() + 1 < heard + span,
+        }
+    }
+
+    /// Counts a request in flight until the guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> FlightGuard {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        FlightGuard(Arc::clone(self))
+    }
+
+    /// Takes the load that an egress reports, and the service time of an
+    /// answer; zero if there was none.
+    pub fn note_load(&self, load: &ServerLoad, service_us: u64) {
+        self.running.store(load.running, Ordering::Relaxed);
+        self.delay_us.store(load.delay_us, Ordering::Relaxed);
+        self.reported_ms.store(self.age_ms(), Ordering::Relaxed);
+        self.note_gate(load.closed);
+        if service_us > 0 {
+            let old = self.service_us.load(Ordering::Relaxed);
+            let step = (service_us >> SERVICE_TIME_SHIFT).max(1);
+            let new = match old {
+                0 => service_us,
+                old => old - (old >> SERVICE_TIME_SHIFT) + step,
+            };
+            self.service_us.store(new, Ordering::Relaxed);
+        }
+    }
+
+    /// The daemon beside it does not answer.
+    pub fn note_silent(&self) {
+        let now = self.age_ms();
+        if now < self.silent_until_ms.load(Ordering::Relaxed) {
+            return;
+        }
+        let before = self.unanswered.fetch_add(1, Ordering::Relaxed);
+        let pause = (SILENT_MS << before.min(6)).min(MAX_SILENT_MS);
+        self.silent_until_ms.store(now + pause, Ordering::Relaxed);
+    }
+
+    /// The daemon beside it has answered.
+    pub fn note_heard(&self) {
+        self.unanswered.store(0, Ordering::Relaxed);
+        self.silent_until_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// Whether its daemon did not answer of late.
+    pub(super) fn is_silent(&self) -> bool {
+        self.age_ms() < self.silent_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// Sets the share of traffic that it may take, 0 to 1.
+    pub fn set_weight(&self, weight: f64) {
+        let weight = (weight.clamp(0.0, 1.0) * f64::from(FULL_WEIGHT)) as u32;
+        self.weight.store(weight, Ordering::Relaxed);
+    }
+
+    /// Sets whether canaries are wanted.
+    pub fn set_canary(&self, wanted: bool) {
+        let (from, to) = match wanted {
+            true => (NO_CANARY, CANARY_WANTED),
+            false => (self.canary.load(Ordering::Relaxed), NO_CANARY),
+        };
+        let _ = self
+            .canary
+            .compare_exchange(from, to, Ordering::AcqRel, Ordering::Relaxed);
+    }
+
+    /// Lets the next canary go after one has ended.
+    pub fn rearm_canary(&self) {
+        let order = (Ordering::AcqRel, Ordering::Relaxed);
+        let _ = self
+            .canary
+            .compare_exchange(CANARY_SENT, CANARY_WANTED, order.0, order.1);
+    }
+
+    /// Takes the right to send a canary.
+    pub(super) fn take_canary(&self) -> bool {
+        let order = (Ordering::AcqRel, Ordering::Relaxed);
+        self.canary
+            .compare_exchange(CANARY_WANTED, CANARY_SENT, order.0, order.1)
+            .is_ok()
+    }
+
+    /// Share of traffic that it may take.
+    pub fn weight(&self) -> f64 {
+        f64::from(self.weight.load(Ordering::Relaxed)) / f64::from(FULL_WEIGHT)
+    }
+
+    /// Whether its daemon said that it is leaving.
+    pub fn is_resting(&self) -> bool {
+        self.links.as_ref().is_some_and(|links| links.is_resting())
+    }
+
+    /// Milliseconds since this state was made.
+    fn age_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    /// Whether the reported load may still hold: jobs end, and a load that
+    /// kept requests away for good would never be corrected.
+    fn is_load_fresh(&self) -> bool {
+        let delay_us = self.delay_us.load(Ordering::Relaxed);
+        let turn_us = delay_us + self.service_us.load(Ordering::Relaxed);
+        let age_ms = self
+            .age_ms()
+            .saturating_sub(self.reported_ms.load(Ordering::Relaxed));
+        age_ms < LOAD_AGE_MS + 2 * turn_us / 1_000
+    }
+
+    /// The numbers for a choice.
+    pub(super) fn candidate(&self) -> Candidate {
+        let (running, delay_us) = match self.is_load_fresh() {
+            true => (
+                self.running.load(Ordering::Relaxed),
+                self.delay_us.load(Ordering::Relaxed),
+            ),
+            false => (0, 0),
+        };
+        Candidate {
+            slots: self.backend.slots.get(),
+            running,
+            delay: Duration::from_micros(delay_us),
+            in_flight: self.in_flight.load(Ordering::Relaxed),
+            service_time: Duration::from_micros(self.service_us.load(Ordering::Relaxed)),
+            distance: self.distance,
+            weight: self.weight(),
+        }
+    }
+
+    /// The state as JSON, for the dump.
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "server": self.backend.id,
+            "vm": self.backend.vm,
+            "slots": self.backend.slots,
+            "distance": format!("{:?}", self.distance).to_lowercase(),
+            "weight": self.weight(),
+            "in_flight": self.in_flight.load(Ordering::Relaxed),
+            "running": self.running.load(Ordering::Relaxed),
+            "delay_us": self.delay_us.load(Ordering::Relaxed),
+            "service_us": self.service_us.load(Ordering::Relaxed),
+        })
+    }
+}
+
+/// Counts a request in flight while it lives.
+#[derive(Debug)]
+pub struct FlightGuard(Arc<ServerState>);
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/serve/src/pool/table.rs
@@ -0,0 +1,157 @@
+//! The pools that this ingress has used, and the ways to its peers.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use config::{Backend, PoolMembers, Service};
+use ids::{FastMap, ServerId, ServiceId, VmId};
+use route::{Distance, LatencyQuantile};
+
+use super::{PoolState, ServerState};
+use crate::{link::LinkPool, settings::LiveSettings, task::TaskGroup, view::FleetView};
+
+/// Quantile after which idempotent requests are hedged.
+const HEDGE_QUANTILE: f64 = 0.95;
+/// Connections to one peer.
+const PEER_CONNECTIONS: usize = 512;
+
+/// Pools of the services that were used, made when first needed.
+#[derive(Debug)]
+pub struct PoolTable {
+    view: Arc<FleetView>,
+    tasks: Arc<TaskGroup>,
+    pools: ArcSwap<FastMap<ServiceId, Arc<PoolState>>>,
+    peers: ArcSwap<FastMap<VmId, Arc<LinkPool>>>,
+    settings: LiveSettings,
+}
+
+impl PoolTable {
+    /// A table whose connections join `tasks`.
+    pub fn new(view: Arc<FleetView>, tasks: Arc<TaskGroup>, settings: LiveSettings) -> Self {
+        Self {
+            settings,
+            view,
+            tasks,
+            pools: ArcSwap::default(),
+            peers: ArcSwap::default(),
+        }
+    }
+
+    /// The pool of a service; `None` if it has no backend server.
+    pub fn pool(&self, id: &ServiceId) -> Option<Arc<PoolState>> {
+        let table = self.view.table();
+        let source = table.pool(id)?;
+        let service = table.service(id)?;
+        let known = self.pools.load().get(id).cloned();
+        match known {
+            Some(pool)
+                if Arc::ptr_eq(&pool.source, source) && Arc::ptr_eq(&pool.service, service) =>
+            {
+                Some(pool)
+            }
+            known => {
+                let pool = Arc::new(self.make_pool(service, source, known.as_deref()));
+                self.pools.rcu(|pools| {
+                    let mut pools = FastMap::clone(pools);
+                    pools.insert(id.clone(), Arc::clone(&pool));
+                    pools
+                });
+                Some(pool)
+            }
+        }
+    }
+
+    /// Notes whether the egress of a server keeps ordinary requests away.
+    pub fn note_gate(&self, service: &ServiceId, server: &ServerId, closed: bool) {
+        let pools = self.pools.load();
+        let states = pools
+            .get(service)
+            .into_iter()
+            .flat_map(|pool| &pool.servers);
+        for state in states.filter(|state| state.backend.id == *server) {
+            state.note_gate(closed);
+        }
+    }
+
+    /// All pools that were used.
+    pub fn pools(&self) -> Vec<Arc<PoolState>> {
+        self.pools.load().values().cloned().collect()
+    }
+
+    /// Closes connections to peers that were idle for too long.
+    pub fn sweep_idle(&self) {
+        for links in self.peers.load().values() {
+            links.sweep();
+        }
+    }
+
+    /// Closes idle connections to peers.
+    pub fn clear_idle(&self) {
+        for links in self.peers.load().values() {
+            links.clear();
+        }
+    }
+
+    /// Makes a pool, with the state of the servers that it had before.
+    fn make_pool(
+        &self,
+        service: &Arc<Service>,
+        source: &Arc<PoolMembers>,
+        before: Option<&PoolState>,
+    ) -> PoolState {
+        let keep = |backend: &Backend| {
+            let old = before?
+                .servers
+                .iter()
+                .find(|state| *state.backend == *backend)?;
+            let same_address = match &old.links {
+                Some(links) => self.view.table().vm(&backend.vm)?.address == links.address(),
+                None => true,
+            };
+            same_address.then(|| Arc::clone(old))
+        };
+        let state = |backend: Backend| keep(&backend).or_else(|| self.make_server(backend));
+        let members = self.view.table().pool_servers(&service.id);
+        let budget = before.map_or_else(Arc::default, |pool| Arc::clone(&pool.budget));
+        let slack = self.settings.load().policy.retry_slack;
+        budget.set_fleet(slack, self.view.table().vms().count());
+        PoolState {
+            service: Arc::clone(service),
+            servers: members.into_iter().filter_map(state).collect(),
+            budget,
+            hedge_after: match before {
+                Some(pool) => Arc::clone(&pool.hedge_after),
+                None => Arc::new(LatencyQuantile::new(HEDGE_QUANTILE)),
+            },
+            slow_limit_us: before.map_or_else(Arc::default, |pool| Arc::clone(&pool.slow_limit_us)),
+            source: Arc::clone(source),
+        }
+    }
+
+    /// State of a backend server that is new here.
+    fn make_server(&self, backend: Backend) -> Option<Arc<ServerState>> {
+        let distance = self.view.distance(&backend.vm);
+        let links = match distance {
+            Distance::Local => None,
+            _ => Some(self.peer(&backend.vm)?),
+        };
+        Some(Arc::new(ServerState::new(backend, distance, links)))
+    }
+
+    /// Connections to the daemon of a VM.
+    pub fn peer(&self, vm: &VmId) -> Option<Arc<LinkPool>> {
+        let address = self.view.table().vm(vm)?.address;
+        if let Some(links) = self.peers.load().get(vm)
+            && links.address() == address
+        {
+            return Some(Arc::clone(links));
+        }
+        let links = LinkPool::new(address, PEER_CONNECTIONS, Arc::clone(&self.tasks));
+        self.peers.rcu(|peers| {
+            let mut peers = FastMap::clone(peers);
+            peers.insert(vm.clone(), Arc::clone(&links));
+            peers
+        });
+        Some(links)
+    }
+}
