--- a/crates/limit/src/held.rs
+++ b/crates/limit/src/held.rs
@@ -4,7 +4,7 @@
 //! what is kept. The surprising part: a share that comes back counts as empty,
 //! since another may have given its part of the burst out meanwhile.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use ids::{MonoTime, VmId};
 
@@ -48,7 +48,7 @@
     pub(crate) generation: u64,
     /// Returns of shares, with ever more shares kept meanwhile: one that kept
     /// no more than a later one says nothing beside it.
-    pub(crate) returns: Vec<ShareReturn>,
+    pub(crate) returns: Arc<[ShareReturn]>,
 }
 
 impl HeldBucket {
@@ -70,8 +70,9 @@
     pub(crate) fn note_return(&mut self, now: MonoTime) {
         let total = self.total(now);
         let kept = self.held_count(now);
-        self.returns.retain(|earlier| earlier.kept < kept);
-        self.returns.push(ShareReturn { total, kept });
+        let earlier = self.returns.iter().filter(|earlier| earlier.kept < kept);
+        let latest = ShareReturn { total, kept };
+        self.returns = earlier.copied().chain([latest]).collect();
     }
 }
 
@@ -84,9 +85,9 @@
     pub(crate) kept: u32,
 }
 
-/// Shares held of an account's home, for minting.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct HeldShares {
+/// Shares held of an account's home, at a moment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct ShareCounts {
     /// Sum over all owners of the time for which their shares were held.
     pub(crate) total: Duration,
     /// Shares held now.
@@ -95,6 +96,13 @@
     pub(crate) all: u32,
     /// Number of the takeover by which they are held.
     pub(crate) generation: u64,
+}
+
+/// What is needed to mint for an account.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldShares {
+    /// Shares now.
+    pub(crate) counts: ShareCounts,
     /// Returns of shares, in the order of time.
-    pub(crate) returns: Vec<ShareReturn>,
+    pub(crate) returns: Arc<[ShareReturn]>,
 }
--- a/crates/limit/src/home.rs
+++ b/crates/limit/src/home.rs
@@ -4,7 +4,10 @@
 
 use ids::{MonoTime, TokenAmount, TokenRate};
 
-use crate::{LeaseId, held::HeldShares};
+use crate::{
+    LeaseId,
+    held::{HeldShares, ShareCounts},
+};
 
 /// Time for which a lease may be spent, from the moment of the ask.
 pub(crate) const LEASE_TIME: Duration = Duration::from_millis(400);
@@ -46,20 +49,20 @@
     raise: Option<(MonoTime, LimitShare)>,
     level: TokenAmount,
     /// Shares of the cell's members that were held at the last look.
-    held: HeldShares,
+    held: ShareCounts,
     leases: Vec<Outstanding>,
 }
 
 impl AccountHome {
     /// A bucket that was empty when `held.total` was `since`.
-    pub(crate) fn new(share: LimitShare, held: &HeldShares, since: Duration) -> Self {
+    pub(crate) fn new(share: LimitShare, held: ShareCounts, since: Duration) -> Self {
         Self {
             share,
             raise: None,
             level: TokenAmount::ZERO,
-            held: HeldShares {
+            held: ShareCounts {
                 total: since,
-                ..held.clone()
+                ..held
             },
             leases: Vec::new(),
         }
@@ -71,7 +74,7 @@
     }
 
     /// Follows a change of the limit: down at once, up after a delay.
-    pub(crate) fn set_share(&mut self, now: MonoTime, held: HeldShares, share: LimitShare) {
+    pub(crate) fn set_share(&mut self, now: MonoTime, held: &HeldShares, share: LimitShare) {
         self.refill(now, held);
         match self.raise {
             _ if share == self.share => self.raise = None,
@@ -124,7 +127,7 @@
     }
 
     /// Whether the bucket is as one that was never used since long ago.
-    pub(crate) fn is_idle(&mut self, now: MonoTime, held: HeldShares) -> bool {
+    pub(crate) fn is_idle(&mut self, now: MonoTime, held: &HeldShares) -> bool {
         self.refill(now, held);
         self.leases.is_empty() && self.raise.is_none() && self.level == self.share.burst
     }
@@ -141,22 +144,23 @@
     }
 
     /// Mints for the time for which shares were held since the last look.
-    fn refill(&mut self, now: MonoTime, held: HeldShares) {
+    fn refill(&mut self, now: MonoTime, held: &HeldShares) {
         self.leases.retain(|lease| lease.until > now);
         if let Some((_, share)) = self.raise.filter(|(due, _)| *due <= now) {
             self.share = share;
             self.raise = None;
         }
-        for back in &held.returns {
+        let HeldShares { counts, returns } = held;
+        for back in returns.iter() {
             if back.total > self.held.total {
-                self.mint_until(back.total, held.all);
-                self.level = self.level.min(self.room(back.kept, held.all));
+                self.mint_until(back.total, counts.all);
+                self.level = self.level.min(self.room(back.kept, counts.all));
             }
         }
-        self.mint_until(held.total, held.all);
-        self.held = HeldShares {
-            total: held.total.max(self.held.total),
-            ..held
+        self.mint_until(counts.total, counts.all);
+        self.held = ShareCounts {
+            total: counts.total.max(self.held.total),
+            ..*counts
         };
         self.level = self.level.min(self.room(self.held.held, self.held.all));
     }
--- a/crates/limit/src/mint.rs
+++ b/crates/limit/src/mint.rs
@@ -68,12 +68,12 @@
             burst: limit.burst.share(groups),
         };
         let since = self.shares[&cell].empty_since(now, account)?;
-        let fresh = || AccountHome::new(share, &held, since);
+        let fresh = || AccountHome::new(share, held.counts, since);
         let home = self.homes.entry(account.clone()).or_insert_with(fresh);
-        if home.generation() != held.generation {
+        if home.generation() != held.counts.generation {
             *home = fresh();
         }
-        home.set_share(now, held, share);
+        home.set_share(now, &held, share);
         let amount = home.grant(now, lease, want);
         Some((amount, home.next_token().unwrap_or(MAX_RETRY)))
     }
--- a/crates/limit/src/node.rs
+++ b/crates/limit/src/node.rs
@@ -7,6 +7,7 @@
 use crate::{
     account::IngressAccount,
     cell::{CellKey, CellMap, GroupId, members_digest},
+    held::HeldShares,
     home::AccountHome,
     lease::{LeaseCell, TokenGrant},
     message::LimitMessage,
@@ -255,9 +256,7 @@
     /// Forgets buckets of accounts that others mint for now: they are not as
     /// full as here if the accounts come back.
     fn forget_moved(&mut self, now: MonoTime) {
-        let mut homes = std::mem::take(&mut self.homes);
-        homes.retain(|account, _| self.held(now, account).is_some());
-        self.homes = homes;
+        self.retain_homes(now, |_, held| held.is_some());
     }
 
     /// Handles a message of a daemon, or of this one to itself.
@@ -393,11 +392,21 @@
 
     /// Forgets accounts whose buckets are full, or whose shares went away.
     fn forget_homes(&mut self, now: MonoTime) {
-        let mut homes = std::mem::take(&mut self.homes);
-        homes.retain(|account, home| match self.held(now, account) {
-            Some((_, held)) => home.generation() == held.generation && !home.is_idle(now, held),
-            None => false,
+        self.retain_homes(now, |home, held| {
+            held.is_some_and(|held| {
+                home.generation() == held.counts.generation && !home.is_idle(now, &held)
+            })
         });
+    }
+
+    /// Keeps buckets by what is held of their accounts.
+    fn retain_homes(
+        &mut self,
+        now: MonoTime,
+        keep: impl Fn(&mut AccountHome, Option<HeldShares>) -> bool,
+    ) {
+        let mut homes = std::mem::take(&mut self.homes);
+        homes.retain(|account, home| keep(home, self.held(now, account).map(|(_, held)| held)));
         self.homes = homes;
     }
 
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -11,13 +11,13 @@
 //! later than for the home, so neither delays nor stops of a process make
 //! them overlap.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use ids::{AccountId, FastMap, FastSet, MonoTime, VmId};
 
 use crate::{
     cell::{home_among, members_digest},
-    held::{HeldBucket, HeldShares},
+    held::{HeldBucket, HeldShares, ShareCounts},
     home::COUNTED_TIME,
 };
 
@@ -313,12 +313,15 @@
     pub(crate) fn shares(&self, now: MonoTime, home: &VmId) -> Option<HeldShares> {
         let bucket = self.held.get(home)?;
         let held = bucket.held_count(now);
-        (held > 0).then(|| HeldShares {
+        let counts = || ShareCounts {
             total: bucket.total(now),
             held,
             all: self.share_count(now),
             generation: bucket.generation,
-            returns: bucket.returns.clone(),
+        };
+        (held > 0).then(|| HeldShares {
+            counts: counts(),
+            returns: Arc::clone(&bucket.returns),
         })
     }
 
--- a/crates/route/tests/retry_budget.rs
+++ b/crates/route/tests/retry_budget.rs
@@ -25,10 +25,10 @@
 
 #[test_case(3, 50.0, 1; "few daemons")]
 #[test_case(33, 58.0, 1; "a small installation")]
-#[test_case(81, 182.0, 1; "a grown one")]
+#[test_case(81, 182.0, 1; "a larger one")]
 #[test_case(300, 60.0, 1; "more daemons than slack")]
 #[test_case(300, 60.0, 4; "more daemons than slack, more requests")]
-#[test_case(4_100, 60.0, 1; "two years on")]
+#[test_case(4_100, 60.0, 1; "two years hence")]
 fn fleet_keeps_the_bound(daemons: usize, slack: f64, each: u32) {
     // Pattern: a quiet service of a large fleet fails at once. Every daemon has
     // saved up what it may.
@@ -40,7 +40,7 @@
 
 #[test_case(33, 58.0; "a small installation")]
 #[test_case(300, 60.0; "more daemons than slack")]
-#[test_case(4_100, 60.0; "two years on")]
+#[test_case(4_100, 60.0; "two years hence")]
 fn share_is_used(daemons: usize, slack: f64) {
     // However thin the slack is spread, the share of requests is there.
     let taken = f64::from(retries(daemons, slack, 20));
