--- a/crates/serve/src/control/adopt.rs
+++ b/crates/serve/src/control/adopt.rs
@@ -19,6 +19,25 @@
 /// At this size each of the 64 buckets has about 300 records.
 const MAX_PATCHED_RECORDS: usize = 20_000;
 
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ConfigSource {
+    /// It was read from the platform.
+    Platform,
+    /// A peer sent it.
+    Peer,
+}
+
+impl ConfigSource {
+    /// Returns the name of the source in log lines.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Platform => "platform",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 impl ControlLoop {
     /// Returns what is newer here than at the peer that sent `request`.
     pub(super) fn pull_reply(&self, request: &PullRequest) -> PullReply {
@@ -57,7 +76,8 @@
             let current = self.parts.view.table();
             match patch.apply(&current) {
                 Ok((table, delta)) => {
-                    self.adopt_config(Arc::new(table), delta.into_iter().collect());
+                    let deltas = delta.into_iter().collect();
+                    self.adopt_config(Arc::new(table), deltas, ConfigSource::Peer);
                 }
                 // The table in force has changed since the pull. The next pull
                 // sends new digests.
@@ -100,7 +120,7 @@
             }
         }
         if table.revision() > current.revision() {
-            self.adopt_config(Arc::new(table), applied);
+            self.adopt_config(Arc::new(table), applied, ConfigSource::Peer);
         }
     }
 
@@ -109,12 +129,21 @@
     ///
     /// `deltas` lead from the configuration in force to `table`; they are empty
     /// if the table was read as a whole.
-    pub(super) fn adopt_config(&mut self, table: Arc<ConfigTable>, deltas: Vec<Delta>) {
+    pub(super) fn adopt_config(
+        &mut self,
+        table: Arc<ConfigTable>,
+        deltas: Vec<Delta>,
+        source: ConfigSource,
+    ) {
         let revision = table.revision();
         if !self.parts.view.adopt_table(table) {
             return;
         }
-        log::info!("config: revision {revision} is in force.");
+        log::info!(
+            source = source.name(),
+            age_ms = self.gossip.age(self.now()).as_millis() as u64;
+            "config: revision {revision} is in force."
+        );
         let only_delta = match deltas.as_slice() {
             [delta] => Some(delta.clone()),
             _ => None,
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -38,6 +38,7 @@
     view::FleetView,
     wire::HeaderSeal,
 };
+use adopt::ConfigSource;
 use detect::DetectorSet;
 use pull::pull_from;
 
@@ -266,7 +267,7 @@
             }
             ControlEvent::ConfigRead { table, deltas } => {
                 if let Some(table) = table {
-                    self.adopt_config(table, deltas);
+                    self.adopt_config(table, deltas, ConfigSource::Platform);
                 }
                 self.handle_gossip_event(GossipEvent::PlatformRead);
             }
@@ -378,6 +379,11 @@
                 GossipAction::Send(to, message) => self.parts.socket.send(&to, message),
                 GossipAction::Pull(from) => self.start_pull(&from),
                 GossipAction::ReadPlatform => {
+                    self.parts.metrics.fallback_reads.inc();
+                    log::info!(
+                        age_ms = self.gossip.age(self.now()).as_millis() as u64;
+                        "config: no peer has confirmed the revision in time, reading the platform."
+                    );
                     let watcher = self.platform_watcher();
                     self.tasks.spawn(async move { watcher.read_once().await });
                 }
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -55,6 +55,9 @@
     pub platform_age_ms: Gauge<i64>,
     /// Number of calls to the platform.
     pub platform_calls: Counter,
+    /// Number of reads of the platform that were made because no peer had
+    /// confirmed the revisions in force in time.
+    pub fallback_reads: Counter,
     /// Number of refused configurations.
     pub config_refused: Counter,
     /// Number of peer messages received, valid and invalid.
@@ -84,6 +87,7 @@
             revision: Gauge::default(),
             platform_age_ms: Gauge::default(),
             platform_calls: Counter::default(),
+            fallback_reads: Counter::default(),
             config_refused: Counter::default(),
             peer_messages: Family::default(),
             peer_bytes: Counter::default(),
@@ -145,6 +149,11 @@
             "Calls of the platform",
             self.platform_calls.clone(),
         );
+        registry.register(
+            "fallback_reads",
+            "Reads of the platform because no peer had confirmed the revisions",
+            self.fallback_reads.clone(),
+        );
         registry.register(
             "config_refused",
             "Configurations refused",
