Read the platform within the bound of a change where readers have lost it

Callers got 404 and 401 for routes and keys of configurations that had been confirmed more than 2 s before, at daemons that could reach the platform.

A daemon that is no reader read it only after 4 s without a confirmed read at any peer, and looked at that only every 0.5 to 1.5 s; the bound of a change is 2 s.

Readers confirm the revisions every 0.7 s now (2 s before) and pass the confirmation on at once, to five peers of their zone, which pass it on to two more; so an age of 1.2 s means that readers are lost, and a daemon reads for itself. First reads are spread over the time that the fleet's rate of reads allows, and the first that succeeds confirms the revisions for the others. Messages are as before: a confirmation is a push without a delta.

Class of fault: the time to notice a loss is longer than the bound that it protects.

--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -29,12 +29,18 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 /// Age up to which the revisions of a daemon count as fresh.
 const MAX_FRESH_AGE: Duration = Duration::from_secs(5);
-/// Age from which a daemon that is not a reader reads the platform itself:
-/// twice the longest wait of a watch by a reader.
-const FALLBACK_AGE: Duration = Duration::from_secs(4);
+/// Age from which a daemon that is not a reader reads the platform itself. Readers
+/// confirm the revisions more often, and a change has to be in force everywhere
+/// within 2 s even if all readers have lost the platform.
+const FALLBACK_AGE: Duration = Duration::from_millis(1_200);
+/// Minimum time between the confirmations that a daemon passes on.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(400);
+/// Number of peers in the same zone to which a daemon passes on the confirmation
+/// of a reader.
+const CONFIRM_FANOUT: usize = 2;
 /// Maximum rate of fallback reads of the platform by all daemons together, in
 /// reads per second.
-const FLEET_FALLBACKS_PER_S: f64 = 70.0;
+const FLEET_FALLBACKS_PER_S: f64 = 140.0;
 /// Minimum mean time between fallback reads of one daemon.
 const MIN_FALLBACK_INTERVAL: Duration = Duration::from_secs(1);
 /// Factor by which the fallback interval grows with each unsuccessful read.
@@ -131,8 +137,11 @@
     /// revisions.
     platform_read_at: Option<MonoTime>,
     started_at: MonoTime,
+    /// Read of the platform that was last passed on to peers.
+    confirmed_read: MonoTime,
     next_exchange: MonoTime,
-    next_fallback: MonoTime,
+    /// Time of the next fallback read; `None` while the revisions are confirmed.
+    next_fallback: Option<MonoTime>,
     pulled_at: Option<MonoTime>,
     /// Time since which peers are known to have newer revisions.
     behind_since: Option<MonoTime>,
@@ -165,8 +174,9 @@
             vms: Revision(0),
             platform_read_at: None,
             started_at: now,
+            confirmed_read: now,
             next_exchange: now + first_delay,
-            next_fallback: now + FALLBACK_AGE,
+            next_fallback: None,
             pulled_at: None,
             behind_since: None,
             remote_source: None,
@@ -191,6 +201,7 @@
             GossipEvent::PlatformRead => {
                 self.platform_read_at = Some(now);
                 self.fallback_reads = 0;
+                self.pass_confirmation(now, ZONE_FANOUT, &mut actions);
             }
             GossipEvent::Message {
                 from,
@@ -299,8 +310,8 @@
         actions: &mut Vec<GossipAction>,
     ) {
         let behind = known.config > self.config || known.vms > self.vms;
-        if !behind {
-            self.adopt_age(now, known);
+        if !behind && self.adopt_age(now, known) {
+            self.pass_confirmation(now, CONFIRM_FANOUT, actions);
         }
         if behind {
             let since = *self.behind_since.get_or_insert(now);
@@ -317,19 +328,39 @@
     }
 
     /// Adopts the time at which a peer without newer revisions read the
-    /// platform.
+    /// platform, and returns whether it is later than what was known.
     ///
     /// If the peer has the same revisions as this daemon, its read shows that
     /// the platform had nothing newer at that time.
-    fn adopt_age(&mut self, now: MonoTime, known: KnownRevisions) {
+    fn adopt_age(&mut self, now: MonoTime, known: KnownRevisions) -> bool {
         let same = known.config == self.config && known.vms == self.vms;
         let read_at = now - Duration::from_millis(known.age_ms);
-        if same && known.age_ms < u64::MAX && Some(read_at) > self.platform_read_at {
+        let later = same && known.age_ms < u64::MAX && Some(read_at) > self.platform_read_at;
+        if later {
             self.platform_read_at = Some(read_at);
             if known.age_ms < MAX_FRESH_AGE.as_millis() as u64 {
                 self.fallback_reads = 0;
             }
         }
+        later
+    }
+
+    /// Tells peers in the same zone when the platform was last read, unless they
+    /// were told of a read not much earlier.
+    fn pass_confirmation(&mut self, now: MonoTime, fanout: usize, actions: &mut Vec<GossipAction>) {
+        let Some(read_at) = self.platform_read_at else {
+            return;
+        };
+        if read_at < self.confirmed_read + CONFIRM_INTERVAL {
+            return;
+        }
+        self.confirmed_read = read_at;
+        let message = PeerMessage::Push {
+            known: self.known(now),
+            delta: None,
+        };
+        let peers = self.zone_peers.sample(&mut self.rng, fanout).cloned();
+        actions.extend(peers.map(|to| GossipAction::Send(to, message.clone())));
     }
 
     /// Pulls from a peer unless a pull started within [`PULL_INTERVAL`].
@@ -360,19 +391,25 @@
         {
             self.pull(now, source, actions);
         }
-        if self.next_fallback <= now || (behind && self.may_fall_back(now)) {
+        if (behind && self.may_fall_back(now)) || self.is_fallback_due(now) {
             let jitter = 0.5 + self.rng.random::<f64>();
-            let stale = self.age(now) >= FALLBACK_AGE;
-            match behind || (stale && !self.is_reader) {
-                true => {
-                    self.fallback_at = Some(now);
-                    self.fallback_reads += 1;
-                    self.next_fallback = now + self.fallback_interval().mul_f64(jitter);
-                    actions.push(GossipAction::ReadPlatform);
-                }
-                false => self.next_fallback = now + MIN_FALLBACK_INTERVAL.mul_f64(jitter),
-            }
+            self.fallback_at = Some(now);
+            self.fallback_reads += 1;
+            self.next_fallback = Some(now + self.fallback_interval().mul_f64(jitter));
+            actions.push(GossipAction::ReadPlatform);
+        }
+    }
+
+    /// Returns whether a fallback read is due because no reader has confirmed the
+    /// revisions for too long. The first reads of all daemons are spread over the
+    /// time that the fleet's rate of reads allows.
+    fn is_fallback_due(&mut self, now: MonoTime) -> bool {
+        if self.is_reader || self.age(now) < FALLBACK_AGE {
+            self.next_fallback = None;
+            return false;
         }
+        let spread = self.fleet_fallback_time().mul_f64(self.rng.random());
+        now >= *self.next_fallback.get_or_insert(now + spread)
     }
 
     /// Returns whether the fallback interval has passed since the latest
@@ -385,13 +422,17 @@
     /// Returns the mean time between fallback reads, which are made while no
     /// peer reports a recent read of the platform.
     fn fallback_interval(&self) -> Duration {
-        let daemons = (self.zone_peers.len() + self.remote_peers.len()) as f64 + 1.0;
-        let base =
-            Duration::from_secs_f64(daemons / FLEET_FALLBACKS_PER_S).max(MIN_FALLBACK_INTERVAL);
+        let base = self.fleet_fallback_time().max(MIN_FALLBACK_INTERVAL);
         let backoff = base.saturating_mul(FALLBACK_BACKOFF.saturating_pow(self.fallback_reads));
         backoff.min(MAX_FALLBACK_INTERVAL.max(base))
     }
 
+    /// Returns the time in which each daemon can make one fallback read.
+    fn fleet_fallback_time(&self) -> Duration {
+        let daemons = (self.zone_peers.len() + self.remote_peers.len()) as f64 + 1.0;
+        Duration::from_secs_f64(daemons / FLEET_FALLBACKS_PER_S)
+    }
+
     /// Returns a random peer, in most cases one in the same zone.
     fn random_peer(&mut self) -> Option<VmId> {
         let remote = self.zone_peers.is_empty() || self.rng.random_bool(CROSS_ZONE_EXCHANGES);
--- a/crates/mesh/tests/spread_fuzz.rs
+++ b/crates/mesh/tests/spread_fuzz.rs
@@ -12,6 +12,10 @@
 const DAEMONS: usize = 24;
 const ZONES: usize = 3;
 const TICK: Duration = Duration::from_millis(20);
+/// Time after which the watch of a reader returns without a change.
+const WATCH_MS: u64 = 700;
+/// Time within which a change has to be known.
+const CHANGE_BOUND: Duration = Duration::from_millis(2_000);
 
 fn vm(daemon: usize) -> VmId {
     format!("vm-{daemon}").parse().unwrap()
@@ -32,6 +36,8 @@
     loss_percent: u64,
     /// Whether each daemon is cut off from all others and from the platform.
     isolated: Vec<bool>,
+    /// Whether each daemon is cut off from the platform only.
+    unreachable: Vec<bool>,
     rng_state: u64,
     queue: BTreeMap<(MonoTime, u64), (usize, usize, PeerMessage)>,
     sent: u64,
@@ -63,6 +69,7 @@
             platform_up: true,
             loss_percent: 0,
             isolated: vec![false; DAEMONS],
+            unreachable: vec![false; DAEMONS],
             rng_state: 1,
             queue: BTreeMap::new(),
             sent: 0,
@@ -98,7 +105,7 @@
     }
 
     fn read_platform(&mut self, daemon: usize) {
-        if self.platform_up && !self.isolated[daemon] {
+        if self.platform_up && !self.isolated[daemon] && !self.unreachable[daemon] {
             self.adopt(daemon, self.published);
             self.step(daemon, GossipEvent::PlatformRead);
         }
@@ -177,10 +184,11 @@
             for daemon in 0..DAEMONS {
                 self.step(daemon, GossipEvent::Tick);
                 // The watch of a reader returns at once when there is a newer
-                // revision, and otherwise every second.
+                // revision, and otherwise at the end of its wait.
                 let newer = self.published > self.known[daemon];
-                let second = self.now.as_nanos() % 1_000_000_000 < TICK.as_nanos() as u64;
-                if self.nodes[daemon].is_reader() && (newer || second) {
+                let watch_ended =
+                    self.now.as_nanos() % (WATCH_MS * 1_000_000) < TICK.as_nanos() as u64;
+                if self.nodes[daemon].is_reader() && (newer || watch_ended) {
                     self.read_platform(daemon);
                 }
             }
@@ -245,6 +253,39 @@
     assert_eq!(late.count(), 0);
 }
 
+// Guards against changes that come late where all readers have lost the platform
+// and other daemons have not.
+#[test]
+fn lost_readers_are_replaced() {
+    for offset in 0..20 {
+        let mut net = FakeNet::new();
+        net.published = Revision(1);
+        net.advance(Duration::from_millis(3_000 + offset * 40));
+        let spared = [1, 11, 21].map(|at| (at..DAEMONS).find(|at| !net.nodes[*at].is_reader()));
+        net.unreachable = (0..DAEMONS).map(|at| !spared.contains(&Some(at))).collect();
+        net.published = Revision(2);
+        net.advance(CHANGE_BOUND);
+        let late = net.known.iter().filter(|known| **known < Revision(2));
+        assert_eq!(late.count(), 0, "offset {offset}");
+    }
+}
+
+#[test]
+fn calm_fleet_reads_little() {
+    let mut net = FakeNet::new();
+    net.published = Revision(1);
+    net.loss_percent = 1;
+    net.advance(Duration::from_secs(3));
+    let before = net.fallbacks;
+    net.advance(Duration::from_secs(60));
+    let fallbacks = net.fallbacks - before;
+    let watches = 3 * ZONES as u64 * 60_000 / WATCH_MS;
+    assert!(
+        fallbacks * 10 < watches,
+        "{fallbacks} fallback reads beside {watches} watches"
+    );
+}
+
 #[test]
 fn isolation_is_detected() {
     let mut net = FakeNet::new();
--- a/crates/serve/src/control/follow.rs
+++ b/crates/serve/src/control/follow.rs
@@ -17,7 +17,7 @@
 
 /// Longest wait of one watch. A watch that ends without a newer revision also
 /// confirms the one in force, which then counts as fresh.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(2);
+const MAX_WATCH_WAIT: Duration = Duration::from_millis(700);
 /// Shortest and longest delay between a failed read and the next one.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
