--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -40,6 +40,8 @@
     /// Incremented by each [`DropRelay::set_cut`].
     cuts: watch::Sender<u64>,
     pause: watch::Sender<bool>,
+    /// Incremented by each [`DropRelay::silence`].
+    silences: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
@@ -56,9 +58,11 @@
         let shared = Arc::new(Shared::default());
         let (cuts, cut_changes) = watch::channel(0);
         let (pause, paused) = watch::channel(false);
+        let (silences, silenced) = watch::channel(0);
         let signals = RelaySignals {
             cut_changes,
             paused,
+            silenced,
         };
         let task = tokio::spawn(relay(listener, socket, Arc::clone(&shared), signals));
         Ok(Self {
@@ -66,6 +70,7 @@
             shared,
             cuts,
             pause,
+            silences,
             task,
         })
     }
@@ -92,6 +97,12 @@
         self.pause.send_replace(paused);
     }
 
+    /// Stops relaying on the connections that are open, without closing them.
+    /// Later connections are relayed.
+    pub fn silence(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
     /// Stops the relay, closes its connections and waits until it has ended.
     pub async fn stop(self) {
         self.task.abort();
@@ -106,6 +117,8 @@
     cut_changes: watch::Receiver<u64>,
     /// Whether the data of streams is held.
     paused: watch::Receiver<bool>,
+    /// Changes with each [`DropRelay::silence`].
+    silenced: watch::Receiver<u64>,
 }
 
 /// Relays until the task is aborted.
@@ -137,6 +150,7 @@
 async fn relay_stream(stream: TcpStream, shared: Arc<Shared>, mut signals: RelaySignals) {
     // Only a later cut ends the connection; earlier ones are seen in the flag.
     signals.cut_changes.mark_unchanged();
+    signals.silenced.mark_unchanged();
     let cut = || shared.cut.load(Ordering::SeqCst);
     let Some(target) = shared.target.get().filter(|_| !cut()) else {
         return;
@@ -148,9 +162,15 @@
     let (from_target, to_target) = out.into_split();
     let forth = copy_stream(from_caller, to_target, signals.clone());
     let back = copy_stream(from_target, to_caller, signals.clone());
+    let both = async { tokio::join!(forth, back) };
+    tokio::pin!(both);
     tokio::select! {
-        _ = async { tokio::join!(forth, back) } => {}
+        _ = &mut both => {}
         _ = signals.cut_changes.changed() => {}
+        // The copies are no longer polled, but their connections stay open.
+        _ = signals.silenced.changed() => {
+            let _ = signals.cut_changes.changed().await;
+        }
     }
 }
 
