A failed read of the store no longer confirms the configuration

Cause: a read for want of a confirmation reads the configuration and then the VM list. The users' platform has no VM list, so that read succeeds at once, also when the read of the configuration has failed, and counted as a confirmation of the revisions. Cut-off daemons so told the others that nothing was newer: reads failed at 8.30 to 8.50 s, and at 8.46 s the age of all was zero again; the next read was at 9.73 s, for a version acked at 7.56 s.

Only a read of the configuration confirms it now. failed_read_confirms_nothing failed before (the age stayed under 2 s for 20 s without a read) and passes.

Class of fault: a success that says nothing is taken for evidence.

--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -272,10 +272,11 @@
                 self.handle_gossip_event(GossipEvent::PlatformRead);
             }
             ControlEvent::VmListRead(list) => {
+                // A read of the VM list confirms nothing about the configuration,
+                // and not every platform has such a list.
                 if let Some(list) = list {
                     self.adopt_vms(list);
                 }
-                self.handle_gossip_event(GossipEvent::PlatformRead);
             }
             ControlEvent::PullReplied(reply) => self.apply_pull_reply(*reply),
             ControlEvent::PullRequested { request, reply } => {
