--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -19,7 +19,11 @@
 }
 
 /// Checks the fields of one record, without its references to others.
-pub(crate) fn check_record(record: &Record) -> Result<(), ConfigError> {
+///
+/// # Errors
+///
+/// Returns [`ConfigError::Record`] if a table would refuse the record.
+pub fn check_record(record: &Record) -> Result<(), ConfigError> {
     let message = match record {
         Record::Server(server) if server.slots.get() == 0 || server.slots.get() > MAX_SLOTS => {
             format!("slots must be 1 to {MAX_SLOTS}")
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -22,7 +22,7 @@
 mod shard;
 mod table;
 
-pub use check::check_records;
+pub use check::{check_record, check_records};
 pub use digest::{KeyDigest, KeyHasher, PartDigest, StateDigest};
 pub use document::{InventoryDoc, RulesDoc, load_records};
 pub use fault::{ConfigError, DocFault};
