Keep to the limit that a backend server names for all its callers

Cause: nobody read the limit. A server got as many requests as it had slots for.

All requests to a server pass the egress beside it, so its queue keeps the limit for the whole fleet: it spaces dispatches at the named rate, and its forecast of waits includes that, so that requests go where there is room. Waiting jobs that can't end in time at that rate are refused at once, with a Retry-After from the forecast. Ingresses are told of the limit, prefer servers with room, and tell an egress that has restarted. A slot that is granted and not used is not counted.

Class of fault: what the other side says about itself is not heard.

--- a/crates/admit/src/job.rs
+++ b/crates/admit/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use ids::{AccountId, MonoTime, Rank, Slots, Weight, WorkPriority};
+use ids::{AccountId, MonoTime, Rank, RequestRate, Slots, Weight, WorkPriority};
 
 /// Number of a job, which is unique within its queue.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -47,6 +47,9 @@
     Arrive(Job),
     /// A dispatched job has ended and releases its slot.
     Finish(JobId),
+    /// A dispatched job releases its slot, and nothing of it was sent to the
+    /// backend server.
+    Release(JobId),
     /// The caller of a job has given it up. A waiting job is removed; a running
     /// one keeps its slot until it finishes.
     Cancel(JobId),
@@ -60,6 +63,9 @@
     Backoff(Duration),
     /// The configured number of slots has changed.
     Resize(Slots),
+    /// The backend server has named the rate at which it takes requests, or names
+    /// none any more.
+    Limit(Option<RequestRate>),
 }
 
 /// Output of a slot queue, an action that its owner must perform.
@@ -82,6 +88,9 @@
     Leaving,
     /// The backend server sheds load until after the deadline.
     Shedding,
+    /// At the rate that the backend server has named, the job could not end before
+    /// its deadline.
+    Limited,
 }
 
 impl fmt::Display for QueueRefusal {
@@ -91,6 +100,7 @@
             Self::Expired => "expired",
             Self::Leaving => "leaving",
             Self::Shedding => "shedding",
+            Self::Limited => "limited",
         })
     }
 }
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -12,6 +12,7 @@
 mod flow;
 mod job;
 mod order;
+mod pace;
 mod queue;
 
 pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal};
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -2,13 +2,14 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use ids::{AccountId, FastMap, MonoTime, Slots, WorkPriority};
+use ids::{AccountId, FastMap, FastSet, MonoTime, Rank, RequestRate, Slots, WorkPriority};
 
 use crate::{
     demand::ArrivalWindow,
     flow::{FlowCharge, FlowTable},
     job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal},
     order::{JobOrder, SortedClasses},
+    pace::DispatchPace,
 };
 
 /// Interval at which jobs that wait because of reserved slots are considered
@@ -59,6 +60,8 @@
     pub delay: Duration,
     /// Whether the backend server is draining.
     pub draining: bool,
+    /// Rate at which the backend server takes requests, if it has named one.
+    pub limit: Option<RequestRate>,
 }
 
 /// A job that holds a slot.
@@ -85,6 +88,8 @@
     draining: bool,
     /// Nothing is dispatched before this time.
     resume_at: MonoTime,
+    /// Pace of dispatches, if the backend server has named a rate.
+    pace: Option<DispatchPace>,
     /// Time of the latest event.
     now: MonoTime,
 }
@@ -101,6 +106,7 @@
             short_arrivals: ArrivalWindow::default(),
             draining: false,
             resume_at: MonoTime::ZERO,
+            pace: None,
             now: MonoTime::ZERO,
         }
     }
@@ -113,12 +119,19 @@
         match event {
             QueueEvent::Arrive(job) => self.arrive(now, job, &mut actions),
             QueueEvent::Finish(id) => self.finish(now, id),
+            QueueEvent::Release(id) => {
+                if let Some(pace) = &mut self.pace {
+                    pace.refund();
+                }
+                self.finish(now, id);
+            }
             QueueEvent::Cancel(id) => self.waiting.retain(|job| job.id != id),
             QueueEvent::Tick => {}
             QueueEvent::Drain => self.drain(&mut actions),
             QueueEvent::Resume => self.draining = false,
             QueueEvent::Backoff(pause) => self.resume_at = self.resume_at.max(now + pause),
             QueueEvent::Resize(slots) => self.limits = QueueLimits::for_slots(slots),
+            QueueEvent::Limit(rate) => self.set_limit(now, rate),
         }
         // A process that was suspended may hold jobs whose callers gave up long
         // ago, so deadlines are checked before each dispatch and not only when
@@ -137,8 +150,9 @@
             .iter()
             .map(|job| job.deadline - run_time)
             .min()?;
-        match self.resume_at {
-            resume if resume > self.now => Some(deadline.min(resume)),
+        let ready_at = self.pace.map_or(MonoTime::ZERO, |pace| pace.ready_at());
+        match self.resume_at.max(ready_at) {
+            resume if resume > self.now && !self.is_full() => Some(deadline.min(resume)),
             // Jobs that wait although a slot is free are held back by reserved
             // slots, whose number falls with time.
             _ if !self.is_full() => Some(deadline.min(self.now + RESERVE_RECHECK)),
@@ -153,12 +167,14 @@
         let turns = (customers + usize::from(self.is_full())) as f64;
         let slots = f64::from(self.limits.slots.get().max(1));
         let queue_delay = self.flows.mean_slot_time().mul_f64(turns / slots);
+        let pace_delay = self.pace_wait(now, customers);
         QueueReport {
             free: self.limits.slots.get().saturating_sub(running),
             running,
             waiting: self.waiting.len() as u32,
-            delay: queue_delay.max(self.resume_at.since(now)),
+            delay: queue_delay.max(pace_delay).max(self.resume_at.since(now)),
             draining: self.draining,
+            limit: self.pace.map(|pace| pace.rate()),
         }
     }
 
@@ -172,6 +188,22 @@
         self.running.is_empty() && self.waiting.is_empty()
     }
 
+    /// Sets the rate at which the backend server takes requests.
+    fn set_limit(&mut self, now: MonoTime, rate: Option<RequestRate>) {
+        match (rate, &mut self.pace) {
+            (Some(rate), Some(pace)) => pace.set_rate(now, rate),
+            (Some(rate), None) => self.pace = Some(DispatchPace::new(now, rate)),
+            (None, _) => self.pace = None,
+        }
+    }
+
+    /// Time until a job is dispatched that has `ahead` jobs before it, by the rate
+    /// that the backend server has named.
+    fn pace_wait(&self, now: MonoTime, ahead: usize) -> Duration {
+        self.pace
+            .map_or(Duration::ZERO, |pace| pace.wait(now, ahead))
+    }
+
     /// Whether every slot is taken.
     fn is_full(&self) -> bool {
         self.running.len() >= self.limits.slots.get() as usize
@@ -210,10 +242,8 @@
         // as certain as the mean slot time.
         let own_wait = self.flows.mean_slot_time().mul_f64(own_ahead / slots);
         let run_time = self.min_run_time();
-        let completion = self
-            .expected_wait(job, &SortedClasses::new(&self.waiting))
-            .mul_f64(REMAINING_SHARE)
-            + run_time;
+        let classes = SortedClasses::new(&self.waiting);
+        let completion = self.expected_wait(job, &classes).mul_f64(REMAINING_SHARE) + run_time;
         match job.deadline {
             _ if self.draining => Some(QueueRefusal::Leaving),
             deadline if deadline <= now => Some(QueueRefusal::Expired),
@@ -228,6 +258,40 @@
         }
     }
 
+    /// Returns the waiting jobs that can't end before their deadline at the rate that
+    /// the backend server has named. Jobs of one rank are taken to be dispatched in
+    /// turn, one of each account.
+    fn limited_jobs(&self, now: MonoTime) -> FastSet<JobId> {
+        let mut limited = FastSet::default();
+        if self.pace.is_none() {
+            return limited;
+        }
+        let mut counts: FastMap<(bool, Rank, &Option<AccountId>), u32> = FastMap::default();
+        let mut turns: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|job| {
+                let count = counts
+                    .entry((job.internal, job.rank, &job.account))
+                    .or_default();
+                *count += 1;
+                (job.internal, job.rank, *count, job)
+            })
+            .collect();
+        turns.sort_by_key(|(internal, rank, count, _)| (*internal, *rank, *count));
+        let mut ahead = 0;
+        for (_, _, _, job) in turns {
+            let wait = self.pace_wait(now, ahead).mul_f64(REMAINING_SHARE);
+            match !wait.is_zero() && job.deadline <= now + wait + self.min_run_time() {
+                true => {
+                    limited.insert(job.id);
+                }
+                false => ahead += 1,
+            }
+        }
+        limited
+    }
+
     /// Expected time until `job` gets a slot if no job before it leaves the
     /// queue.
     fn expected_wait(&self, job: &Job, classes: &SortedClasses) -> Duration {
@@ -314,8 +378,16 @@
             }
             _ => None,
         };
-        let refused: Vec<Option<QueueRefusal>> = self.waiting.iter().map(refusal_of).collect();
-        let mut refusals = refused.into_iter();
+        let limited = self.limited_jobs(now);
+        let refusals: Vec<Option<QueueRefusal>> = self
+            .waiting
+            .iter()
+            .map(|job| {
+                let limited = || limited.contains(&job.id).then_some(QueueRefusal::Limited);
+                refusal_of(job).or_else(limited)
+            })
+            .collect();
+        let mut refusals = refusals.into_iter();
         self.waiting.retain(|job| match refusals.next().flatten() {
             Some(refusal) => {
                 actions.push(QueueAction::Refuse(job.id, refusal));
@@ -330,7 +402,7 @@
         if self.draining || now < self.resume_at {
             return;
         }
-        while !self.is_full() {
+        while !self.is_full() && self.pace_wait(now, 0).is_zero() {
             let Some((index, start)) = self.next_job(now) else {
                 return;
             };
@@ -342,6 +414,9 @@
                 bulk: job.bulk,
             };
             self.running.insert(job.id, running);
+            if let Some(pace) = &mut self.pace {
+                pace.record(now);
+            }
             actions.push(QueueAction::Dispatch(job.id));
         }
     }
--- a/crates/hop/src/lib.rs
+++ b/crates/hop/src/lib.rs
@@ -13,10 +13,12 @@
 
 mod book;
 mod message;
+mod notice;
 mod search;
 
 pub use book::{OfferKey, OfferStatus, OfferTable};
 pub use message::{
     EgressIncarnation, HopMessage, NotRun, OfferId, OfferJob, OfferReply, ServerLoad,
 };
+pub use notice::ServerNotice;
 pub use search::{SearchAction, SearchEvent, SearchOptions, SlotSearch};
--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -49,6 +49,8 @@
     Failing,
     /// The grant expired before the request arrived.
     Lapsed,
+    /// The rate that the backend server has named leaves no room in time.
+    Limited,
 }
 
 impl fmt::Display for NotRun {
@@ -63,6 +65,7 @@
             Self::Misdirected => "misdirected",
             Self::Failing => "failing",
             Self::Lapsed => "lapsed",
+            Self::Limited => "limited",
         })
     }
 }
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use mono::MonoTime;
 pub use name::{AccountId, KeyId, NameError, RackId, RegionId, ServerId, ServiceId, VmId, ZoneId};
-pub use size::{Percent, Rank, Revision, Slots, UnitError, Weight, WorkPriority};
+pub use size::{Percent, Rank, RequestRate, Revision, Slots, UnitError, Weight, WorkPriority};
 pub use token::{TokenAmount, TokenRate};
 
 /// Hash map with a fast hasher that has a random seed in each process.
--- a/crates/ids/src/size.rs
+++ b/crates/ids/src/size.rs
@@ -1,6 +1,6 @@
 //! Counts, weights, priorities, percentages and revisions.
 
-use std::{fmt, str::FromStr};
+use std::{fmt, str::FromStr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -88,3 +88,52 @@
         f64::from(self.0) / 100.0
     }
 }
+
+/// Number of requests per second, stored in thousandths.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+#[serde(transparent)]
+pub struct RequestRate(u64);
+
+impl RequestRate {
+    /// Returns a rate of `thousandths` requests per 1,000 seconds.
+    pub const fn from_thousandths(thousandths: u64) -> Self {
+        Self(thousandths)
+    }
+
+    /// Returns the rate in requests per second, for calculations.
+    pub fn as_f64(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
+
+    /// Returns the time between two requests at this rate, at most `longest`.
+    pub fn interval(self, longest: Duration) -> Duration {
+        match self.0 {
+            0 => longest,
+            thousandths => Duration::from_nanos(1_000_000_000_000 / thousandths).min(longest),
+        }
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.as_f64())
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = UnitError;
+
+    /// Parses a decimal number of requests per second, such as `3.2` or `3.2/s`.
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let number = text.strip_suffix("/s").unwrap_or(text);
+        match number.parse::<f64>() {
+            Ok(rate) if rate.is_finite() && rate >= 0.0 => Ok(Self((rate * 1_000.0) as u64)),
+            _ => Err(UnitError {
+                text: text.to_owned(),
+                expected: "a number of requests per second, such as 3.2",
+            }),
+        }
+    }
+}
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -2,7 +2,7 @@
 
 use config::Delta;
 use health::OutcomeCounts;
-use hop::HopMessage;
+use hop::{HopMessage, ServerNotice};
 use ids::{Revision, ServerId};
 use limit::LimitMessage;
 use serde::{Deserialize, Serialize};
@@ -47,6 +47,15 @@
         /// Whether the egress refuses ordinary requests for the backend server.
         closed: bool,
     },
+    /// Passes on what a backend server says about itself: from the egress beside it
+    /// to an ingress, and from an ingress to that egress, which may have restarted
+    /// since.
+    Notice {
+        /// The backend server.
+        server: ServerId,
+        /// What it says.
+        notice: ServerNotice,
+    },
 }
 
 /// Delta as the JSON text in which it is published.
--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -66,6 +66,9 @@
         };
         self.metrics.waiting.set(sum(|report| report.waiting));
         self.metrics.running.set(sum(|report| report.running));
+        self.metrics
+            .limited_servers
+            .set(sum(|report| u32::from(report.limit.is_some())));
         self.metrics
             .revision
             .set(self.view.table().revision().get() as i64);
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -5,7 +5,7 @@
 
 use hop::{
     EgressIncarnation, OfferId, OfferJob, OfferReply, SearchAction, SearchEvent, SearchOptions,
-    SlotSearch,
+    ServerNotice, SlotSearch,
 };
 use ids::{VmId, Weight};
 
@@ -187,6 +187,12 @@
         }
         self.asked.push(choice.server.backend.id.clone());
         let vm = choice.server.backend.vm.clone();
+        let notice = choice.server.notice();
+        if notice != ServerNotice::default() {
+            // The daemon there may have restarted since the server said so.
+            let server = &choice.server.backend.id;
+            offers.channel.send_notice(&vm, server, notice);
+        }
         offers.channel.offer(&vm, id, self.build_job(&choice));
         offers.open.push_back((vm, id));
         self.offers.insert(id, choice);
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -318,6 +318,20 @@
                 });
             }
             PeerMessage::Hop(message) => self.parts.transport.receive(&from, message),
+            PeerMessage::Notice { server, notice } => {
+                let table = self.parts.view.table();
+                match table.server(&server) {
+                    Some(backend) if backend.vm == self.parts.view.vm => {
+                        self.parts.egress.record_notice(&server, notice);
+                    }
+                    Some(backend) => {
+                        self.parts
+                            .pools
+                            .record_notice(&backend.service, &server, notice);
+                    }
+                    None => {}
+                }
+            }
             PeerMessage::Evidence {
                 server,
                 counts,
--- a/crates/serve/src/edge.rs
+++ b/crates/serve/src/edge.rs
@@ -6,6 +6,7 @@
 
 use std::{fmt, time::Duration};
 
+use hop::ServerNotice;
 use hyper::{
     HeaderMap, StatusCode,
     header::{AUTHORIZATION, HeaderValue, RETRY_AFTER},
@@ -72,6 +73,9 @@
     fn read_answer(&self, request_id: Option<&HeaderValue>, answer: &response::Parts)
     -> AnswerKind;
 
+    /// Returns what the backend server says about itself in an answer.
+    fn read_notice(&self, answer: &response::Parts) -> ServerNotice;
+
     /// Returns the id that the caller gave to a request, if there is one.
     fn request_id(&self, headers: &HeaderMap) -> Option<HeaderValue>;
 
@@ -118,6 +122,10 @@
         AnswerKind::Answer
     }
 
+    fn read_notice(&self, _answer: &response::Parts) -> ServerNotice {
+        ServerNotice::default()
+    }
+
     fn request_id(&self, _headers: &HeaderMap) -> Option<HeaderValue> {
         None
     }
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response, body::Body, header::HeaderValue};
 use ids::MonoTime;
 
-use super::{EgressAnswer, lock_calls, server::EgressServer, slot::HeldSlot};
+use super::{EgressAnswer, lock_calls, notice::NoticeSource, server::EgressServer, slot::HeldSlot};
 use crate::{
     body::{BodyEnd, ObservedBody, ProxyBody, TimeoutBody},
     edge::{AnswerKind, DispatchMetadata, shed_backoff},
@@ -27,8 +27,9 @@
         attempt: &Attempt,
         request: Request<ProxyBody>,
         deadline: MonoTime,
-        held: HeldSlot,
+        mut held: HeldSlot,
     ) -> EgressAnswer {
+        held.ticket.sent = true;
         let started = self.clock.now();
         let request = self.build_request(attempt, request, deadline);
         let request_id = self.codec.request_id(request.headers());
@@ -39,7 +40,11 @@
         match result {
             Some(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                match self.codec.read_answer(request_id.as_ref(), &head) {
+                let kind = self.codec.read_answer(request_id.as_ref(), &head);
+                if kind != AnswerKind::Foreign && kind != AnswerKind::NotRun(NotRun::Misdirected) {
+                    self.record_notice(NoticeSource::Server, self.codec.read_notice(&head));
+                }
+                match kind {
                     AnswerKind::Answer => {
                         let response = Response::from_parts(head, body);
                         self.forward_answer(response, service, overdue, held)
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -2,6 +2,7 @@
 //! requests that are committed to them.
 
 mod dispatch;
+mod notice;
 mod probed;
 mod server;
 mod slot;
@@ -20,14 +21,14 @@
 use health::{FailedCalls, OutcomeCounts};
 use hop::{
     EgressIncarnation, HopMessage, OfferId, OfferJob, OfferKey, OfferReply, OfferStatus,
-    OfferTable, ServerLoad,
+    OfferTable, ServerLoad, ServerNotice,
 };
 use hyper::{Request, Response};
 use ids::{FastMap, ServerId, VmId};
 use tokio::sync::{Notify, oneshot};
 
 pub use self::probed::ProbedServer;
-use self::{server::EgressServer, slot::HeldSlot};
+use self::{notice::NoticeSource, server::EgressServer, slot::HeldSlot};
 use crate::{
     body::ProxyBody,
     clock::MonoClock,
@@ -143,6 +144,12 @@
         offer: OfferId,
         job: OfferJob,
     ) {
+        let notice = self
+            .server(&job.server)
+            .and_then(|server| server.notice_to_tell());
+        if let Some(notice) = notice {
+            transport.send_notice(from, &job.server, notice);
+        }
         let (withdrawn, withdrawal) = oneshot::channel();
         let key = offer_key(from, offer);
         let status = self
@@ -299,16 +306,27 @@
                 Some(backend) if backend.vm == self.view.vm => {
                     server.resize(backend.slots);
                     // An earlier configuration may have lacked the server.
-                    server.handle(QueueEvent::Resume);
-                    if self.is_draining() {
-                        server.handle(QueueEvent::Drain);
+                    match self.is_draining() || server.is_leaving() {
+                        true => server.handle(QueueEvent::Drain),
+                        false => server.handle(QueueEvent::Resume),
                     }
                 }
-                _ => server.handle(QueueEvent::Drain),
+                _ => {
+                    server.forget_leaving();
+                    server.handle(QueueEvent::Drain);
+                }
             }
         }
     }
 
+    /// Records what a backend server of this VM said about itself, as an ingress
+    /// passes it on.
+    pub fn record_notice(&self, server: &ServerId, notice: ServerNotice) {
+        if let Some(server) = self.server(server) {
+            server.record_notice(NoticeSource::Ingress, notice);
+        }
+    }
+
     /// Whether new requests are refused.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
@@ -391,6 +409,7 @@
             id: backend.id.clone(),
             codec: Arc::clone(&self.codec),
             gate: Mutex::default(),
+            notice: Mutex::default(),
             calls: Arc::clone(&self.calls),
             evidence: ServerEvidence::new(self.incarnation.0),
             control: self.control.clone(),
@@ -441,5 +460,6 @@
         QueueRefusal::Expired => NotRun::Expired,
         QueueRefusal::Leaving => NotRun::Leaving,
         QueueRefusal::Shedding => NotRun::Shedding,
+        QueueRefusal::Limited => NotRun::Limited,
     }
 }
--- /dev/null
+++ b/crates/serve/src/egress/notice.rs
@@ -0,0 +1,98 @@
+//! What a backend server of this VM says about itself, and what follows for its
+//! queue.
+
+use std::time::Duration;
+
+use admit::QueueEvent;
+use hop::ServerNotice;
+use ids::MonoTime;
+
+use super::server::EgressServer;
+
+/// Time after which a server that has said that it leaves, and is still listed, is
+/// tried again: it may have been started again under the same name.
+const LEAVING_TIME: Duration = Duration::from_secs(60);
+/// Time for which ingresses are told that a server says nothing any more.
+const ENDED_TIME: Duration = Duration::from_secs(5);
+
+/// Latest notice of a backend server.
+#[derive(Debug, Default)]
+pub(super) struct KnownNotice {
+    notice: ServerNotice,
+    /// Whether the server itself has said it since this daemon started; otherwise
+    /// an ingress has passed it on.
+    first_hand: bool,
+    changed_at: MonoTime,
+}
+
+/// Who told the egress what a backend server says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum NoticeSource {
+    /// The backend server, in an answer.
+    Server,
+    /// An ingress that heard of it before this daemon started.
+    Ingress,
+}
+
+impl EgressServer {
+    /// Records what the server says about itself. What ingresses pass on counts
+    /// only until the server has answered.
+    pub(super) fn record_notice(&self, source: NoticeSource, notice: ServerNotice) {
+        let now = self.clock.now();
+        let mut known = self.known_notice();
+        match source {
+            NoticeSource::Server => known.first_hand = true,
+            NoticeSource::Ingress if known.first_hand => return,
+            NoticeSource::Ingress => {}
+        }
+        let before = known.notice;
+        // Requests that were sent before the server began to leave may be answered
+        // later, and no request is sent after that.
+        let leaving = notice.leaving || before.leaving;
+        known.notice = ServerNotice { leaving, ..notice };
+        if known.notice == before {
+            return;
+        }
+        known.changed_at = now;
+        drop(known);
+        if notice.limit != before.limit {
+            let limit = notice.limit.map(|limit| limit.to_string());
+            log::info!(
+                server = self.id.as_str(),
+                limit = limit.as_deref().unwrap_or("none"),
+                source = format!("{source:?}").as_str();
+                "egress: the backend server has named another limit for all its callers."
+            );
+            self.handle(QueueEvent::Limit(notice.limit));
+        }
+        if leaving && !before.leaving {
+            log::info!(
+                server = self.id.as_str(),
+                source = format!("{source:?}").as_str();
+                "egress: the backend server says that it is leaving; it gets no new requests."
+            );
+            self.handle(QueueEvent::Drain);
+        }
+    }
+
+    /// Returns what ingresses should be told about the server, if anything.
+    pub(super) fn notice_to_tell(&self) -> Option<ServerNotice> {
+        let known = self.known_notice();
+        let recent = self.clock.now().since(known.changed_at) < ENDED_TIME;
+        let changed = known.changed_at > MonoTime::ZERO;
+        let telling = known.notice != ServerNotice::default() || (changed && recent);
+        telling.then_some(known.notice)
+    }
+
+    /// Whether the server has said that it is leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        let known = self.known_notice();
+        known.notice.leaving && self.clock.now().since(known.changed_at) < LEAVING_TIME
+    }
+
+    /// Forgets that the server was leaving, since it is no longer listed. If it
+    /// comes back, it is another start of it.
+    pub(super) fn forget_leaving(&self) {
+        self.known_notice().notice.leaving = false;
+    }
+}
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -18,6 +18,7 @@
 
 use super::{
     EgressAnswer,
+    notice::KnownNotice,
     slot::{GatePass, SlotTicket},
 };
 use crate::{
@@ -58,6 +59,8 @@
     pub(super) id: ServerId,
     pub(super) codec: Arc<dyn EdgeCodec>,
     pub(super) gate: Mutex<ServerGate>,
+    /// What the server says about itself.
+    pub(super) notice: Mutex<KnownNotice>,
     /// Failed calls that requests on this VM made to other services.
     pub(super) calls: Arc<Mutex<FailedCalls>>,
     pub(super) control: ControlSender,
@@ -158,6 +161,13 @@
             .unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Locks the notice, whose holders never panic.
+    pub(super) fn known_notice(&self) -> MutexGuard<'_, KnownNotice> {
+        self.notice
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// Waits for a slot. Dropping the ticket releases the slot.
     pub(super) async fn acquire(
         self: &Arc<Self>,
@@ -230,6 +240,7 @@
         let ticket = SlotTicket {
             server: Arc::clone(self),
             id,
+            sent: false,
         };
         (ticket, decision)
     }
--- a/crates/serve/src/egress/slot.rs
+++ b/crates/serve/src/egress/slot.rs
@@ -29,7 +29,6 @@
 /// Slot and permission that a request holds while it runs at a backend server.
 #[derive(Debug)]
 pub(super) struct HeldSlot {
-    #[expect(dead_code, reason = "frees the slot when it is dropped")]
     pub(super) ticket: SlotTicket,
     pub(super) pass: GatePass,
 }
@@ -39,6 +38,8 @@
 pub(super) struct SlotTicket {
     pub(super) server: Arc<EgressServer>,
     pub(super) id: JobId,
+    /// Whether the request was sent to the backend server, or may have been.
+    pub(super) sent: bool,
 }
 
 impl Drop for SlotTicket {
@@ -47,7 +48,8 @@
         let mut state = self.server.lock();
         state.waiters.remove(&self.id);
         let event = match state.queue.is_running(self.id) {
-            true => QueueEvent::Finish(self.id),
+            true if self.sent => QueueEvent::Finish(self.id),
+            true => QueueEvent::Release(self.id),
             false => QueueEvent::Cancel(self.id),
         };
         state.handle(now, event);
--- a/crates/serve/src/hop.rs
+++ b/crates/serve/src/hop.rs
@@ -7,8 +7,8 @@
     atomic::{AtomicU64, Ordering},
 };
 
-use hop::{EgressIncarnation, HopMessage, OfferId, OfferJob, OfferReply};
-use ids::{FastMap, VmId};
+use hop::{EgressIncarnation, HopMessage, OfferId, OfferJob, OfferReply, ServerNotice};
+use ids::{FastMap, ServerId, VmId};
 use mesh::PeerMessage;
 use tokio::sync::mpsc;
 
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Passes on to the daemon of another VM what a backend server says about
+    /// itself.
+    pub fn send_notice(&self, to: &VmId, server: &ServerId, notice: ServerNotice) {
+        if *to != self.vm {
+            let server = server.clone();
+            self.peers.send(to, PeerMessage::Notice { server, notice });
+        }
+    }
+
     /// Handles a message from the daemon on `from`.
     pub fn receive(self: &Arc<Self>, from: &VmId, message: HopMessage) {
         match message {
@@ -120,6 +129,11 @@
         self.transport.send(to, HopMessage::Offer { offer, job });
     }
 
+    /// Passes on to an egress what one of its servers said about itself.
+    pub fn send_notice(&self, to: &VmId, server: &ServerId, notice: ServerNotice) {
+        self.transport.send_notice(to, server, notice);
+    }
+
     /// Withdraws an offer.
     pub fn withdraw(&self, to: &VmId, offer: OfferId) {
         self.transport.send(to, HopMessage::Withdraw { offer });
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -66,6 +66,8 @@
     pub peer_bytes: Counter,
     /// Number of open connections of callers.
     pub connections: Gauge,
+    /// Number of backend servers of this VM that have named a limit.
+    pub limited_servers: Gauge,
     /// Number of requests that wait for a slot at the egress.
     pub waiting: Gauge,
     /// Number of requests that hold a slot at the egress.
@@ -92,6 +94,7 @@
             peer_messages: Family::default(),
             peer_bytes: Counter::default(),
             connections: Gauge::default(),
+            limited_servers: Gauge::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
         };
@@ -174,6 +177,11 @@
             "Callers' connections",
             self.connections.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Backend servers of this VM that have named a limit",
+            self.limited_servers.clone(),
+        );
         registry.register("waiting", "Jobs that wait for a slot", self.waiting.clone());
         registry.register("running", "Jobs that hold a slot", self.running.clone());
     }
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -69,7 +69,8 @@
         let states: Vec<&Arc<ServerState>> = self.servers.iter().filter(usable).collect();
         let fresh = |state: &&&Arc<ServerState>| {
             let tried = tried.contains(&state.backend.id);
-            !tried && !state.is_silent() && !state.is_failing(idempotent)
+            let leaving = state.notice().leaving;
+            !tried && !leaving && !state.is_silent() && !state.is_failing(idempotent)
         };
         let healthy: Vec<&Arc<ServerState>> = states.iter().filter(fresh).copied().collect();
         let rules = PoolRules {
@@ -83,7 +84,9 @@
                 forced: false,
             });
         }
-        let failing = |state: &&Arc<ServerState>| state.is_failing(false) || state.is_silent();
+        let failing = |state: &&Arc<ServerState>| {
+            !state.notice().leaving && (state.is_failing(false) || state.is_silent())
+        };
         let server = choose_among(states.into_iter().filter(failing).collect(), rules)?;
         Some(ServerChoice {
             server,
--- a/crates/serve/src/pool/server.rs
+++ b/crates/serve/src/pool/server.rs
@@ -2,14 +2,14 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use config::Backend;
-use hop::ServerLoad;
+use hop::{ServerLoad, ServerNotice};
 use route::{Candidate, Distance};
 
 use crate::link::ConnectionPool;
@@ -34,6 +34,12 @@
 /// First and longest time for which a server is avoided whose daemon does not
 /// reply, in milliseconds. The time doubles while there is no reply.
 const SILENT_MS: u64 = 150;
+/// Time for which a notice of a server is used after it was last passed on, in
+/// milliseconds.
+const NOTICE_MS: u64 = 10_000;
+/// Least share of its usual traffic that a server with a limit is offered, so that
+/// the end of the limit is noticed.
+const MIN_LIMITED_SHARE: f64 = 0.02;
 const MAX_SILENT_MS: u64 = 3_000;
 
 /// State of a backend server at this ingress.
@@ -63,6 +69,9 @@
     /// End of the time for which the server is avoided because its daemon did not
     /// reply, in milliseconds from `start`.
     silent_until_ms: AtomicU64,
+    /// What the server says about itself, and when that was last passed on, in
+    /// milliseconds from `start`.
+    notice: Mutex<(ServerNotice, u64)>,
 }
 
 impl ServerState {
@@ -87,6 +96,7 @@
             failing_ms: AtomicU64::new(0),
             offers_without_reply: AtomicU32::new(0),
             silent_until_ms: AtomicU64::new(0),
+            notice: Mutex::default(),
         }
     }
 
@@ -111,6 +121,42 @@
         }
     }
 
+    /// Records what the server says about itself.
+    pub fn record_notice(&self, notice: ServerNotice) {
+        let mut known = self
+            .notice
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        *known = (notice, self.age_ms());
+    }
+
+    /// Returns what the server says about itself; the default if that is nothing or
+    /// not known.
+    pub(crate) fn notice(&self) -> ServerNotice {
+        let known = self
+            .notice
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        let (notice, told_ms) = *known;
+        match self.age_ms() < told_ms + NOTICE_MS {
+            true => notice,
+            false => ServerNotice::default(),
+        }
+    }
+
+    /// Share of its slots that the server can use at the rate that it has named.
+    fn limited_share(&self) -> f64 {
+        let service_s = self.service_us.load(Ordering::Relaxed) as f64 / 1e6;
+        match self.notice().limit {
+            Some(limit) if service_s > 0.0 => {
+                let used_slots = limit.as_f64() * service_s;
+                let slots = f64::from(self.backend.slots.get().max(1));
+                (used_slots / slots).clamp(MIN_LIMITED_SHARE, 1.0)
+            }
+            _ => 1.0,
+        }
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> FlightGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -235,7 +281,7 @@
             in_flight: self.in_flight.load(Ordering::Relaxed),
             service_time: Duration::from_micros(self.service_us.load(Ordering::Relaxed)),
             distance: self.distance,
-            weight: self.weight(),
+            weight: self.weight() * self.limited_share(),
         }
     }
 
@@ -250,6 +296,8 @@
             "in_flight": self.in_flight.load(Ordering::Relaxed),
             "running": self.running.load(Ordering::Relaxed),
             "delay_us": self.delay_us.load(Ordering::Relaxed),
+            "limit": self.notice().limit.map(|limit| limit.to_string()),
+            "leaving": self.notice().leaving,
             "service_us": self.service_us.load(Ordering::Relaxed),
         })
     }
--- a/crates/serve/src/pool/table.rs
+++ b/crates/serve/src/pool/table.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use config::{Backend, PoolMembers, Service};
+use hop::ServerNotice;
 use ids::{FastMap, ServerId, ServiceId, VmId};
 use route::{Distance, LatencyQuantile};
 
@@ -64,16 +65,25 @@
 
     /// Records whether the egress of a server refuses ordinary requests.
     pub fn record_gate(&self, service: &ServiceId, server: &ServerId, closed: bool) {
-        let pools = self.pools.load();
-        let states = pools
-            .get(service)
-            .into_iter()
-            .flat_map(|pool| &pool.servers);
-        for state in states.filter(|state| state.backend.id == *server) {
+        if let Some(state) = self.state(service, server) {
             state.record_gate(closed);
         }
     }
 
+    /// Records what a server says about itself.
+    pub fn record_notice(&self, service: &ServiceId, server: &ServerId, notice: ServerNotice) {
+        if let Some(state) = self.state(service, server) {
+            state.record_notice(notice);
+        }
+    }
+
+    /// Returns the state of a server if its pool was used.
+    fn state(&self, service: &ServiceId, server: &ServerId) -> Option<Arc<ServerState>> {
+        let pools = self.pools.load();
+        let mut states = pools.get(service)?.servers.iter();
+        states.find(|state| state.backend.id == *server).cloned()
+    }
+
     /// Returns all pools that were used.
     pub fn pools(&self) -> Vec<Arc<PoolState>> {
         self.pools.load().values().cloned().collect()
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -29,6 +29,9 @@
 /// Shortest and longest time after which a refused caller is told to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time after which a caller is told to retry that was refused because of a
+/// rate that backend servers have named.
+const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// Properties of a request that do not follow from its head and body.
 #[derive(Clone, Debug)]
@@ -225,6 +228,10 @@
         let wait = *wait.unwrap_or_else(|poison| poison.into_inner());
         let jitter = 0.75 + rand::random::<f64>() / 2.0;
         let wait = wait.map_or(MAX_RETRY_AFTER, |wait| wait.mul_f64(jitter));
-        wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        let longest = match self.not_run {
+            Some(NotRun::Limited) => MAX_LIMITED_RETRY_AFTER,
+            _ => MAX_RETRY_AFTER,
+        };
+        wait.clamp(MIN_RETRY_AFTER, longest)
     }
 }
