Cut off an answer at the end of the time that its caller gave

A backend server that sent chunks without end held a slot, and connections on the way, for as long as the caller kept reading.

Cause: the deadline of a request covers the head of the answer, and the stall time-out only spans without bytes; nothing ended a body that goes on. The ingress now ends an answer with an error at the end of the time budget that the caller gave, which closes the connections up to the server. Requests without a budget are not cut, since a download may take longer than its route's time-out.

endless_answer_is_cut: "chunks without end" failed before (still open 2.5 s after a request with a budget of 1.5 s); the other cases (heads, headers, interim answers, chunk sizes, trailers, bodies that end by close, refusals) passed before.

--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -194,6 +194,47 @@
     }
 }
 
+/// A body that fails at a time, however many bytes still arrive.
+pub struct DeadlineBody {
+    inner: ProxyBody,
+    timer: Pin<Box<tokio::time::Sleep>>,
+}
+
+impl DeadlineBody {
+    /// Creates a body that fails at `deadline` unless `inner` has ended.
+    pub fn new(inner: ProxyBody, deadline: tokio::time::Instant) -> Self {
+        Self {
+            inner,
+            timer: Box::pin(tokio::time::sleep_until(deadline)),
+        }
+    }
+}
+
+impl Body for DeadlineBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.timer.as_mut().poll(cx) {
+            Poll::Ready(()) => {
+                Poll::Ready(Some(Err("the time that the caller gave has passed".into())))
+            }
+            Poll::Pending => Pin::new(&mut self.inner).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// A body that was read up to a maximum size.
 pub enum BufferedBody {
     /// All bytes of the body.
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -23,7 +23,9 @@
 
 use crate::{
     answer::Refusal,
-    body::{BufferedBody, PrefixedBody, ProxyBody, TimeoutBody, buffer_body, full_body},
+    body::{
+        BufferedBody, DeadlineBody, PrefixedBody, ProxyBody, TimeoutBody, buffer_body, full_body,
+    },
     clock::MonoClock,
     control::ControlSender,
     edge::{CallerMetadata, EdgeCodec},
@@ -203,6 +205,7 @@
         let metadata = self.codec.read_caller(&mut head.headers);
         let context = self.authorize(&head, &metadata)?;
         let deadline = started + context.timeout_for(&metadata);
+        let body_deadline = metadata.timeout.map(|timeout| started + timeout);
         let account = context.caller.as_ref().map(|(_, account)| &account.id);
         let revision = self.view.table().revision().get();
         trace.record_admission(&context.pool.service.id, account, revision);
@@ -240,7 +243,14 @@
             (Some(token), _) => token.spend(),
             (None, _) => {}
         }
-        result
+        let response = result?;
+        Ok(match body_deadline {
+            Some(deadline) if !response.body().is_end_stream() => {
+                let deadline = self.clock.instant(deadline);
+                response.map(|body| DeadlineBody::new(body, deadline).boxed_unsync())
+            }
+            _ => response,
+        })
     }
 
     /// Finds the route of a request and checks the caller's key.
