A repeated refusal is not taken for the answer to a later request

A caller was told `not run, try again` for a request that its server ran: a faulty server wrote an earlier refusal once more on the kept connection, where the answer to the next request was due.

Cause: a refusal counted for the request in turn if it had no request id, or the same one, as a request has that is sent to the server a second time; and the connection of a refusal without a body went back into the pool.

repeated_refusal_is_not_believed: "without id" failed before (ran, and the caller got 503); "with its id" passed before, since its second request has another id.

--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::{
     body::{BodyEnd, ObservedBody, ProxyBody, TimeoutBody},
     edge::{AnswerKind, DispatchMetadata, shed_backoff},
-    link::SendError,
+    link::{SendError, forbid_reuse},
     wire::{Attempt, EgressOutcome, EgressReport, NotRun},
 };
 
@@ -44,6 +44,11 @@
                 if kind != AnswerKind::Foreign && kind != AnswerKind::NotRun(NotRun::Misdirected) {
                     self.record_notice(NoticeSource::Server, self.codec.read_notice(&head));
                 }
+                if kind != AnswerKind::Answer {
+                    // The server may repeat the answer, and the repetition would be
+                    // taken for the answer to a later request.
+                    forbid_reuse(&head);
+                }
                 match kind {
                     AnswerKind::Answer => {
                         let response = Response::from_parts(head, body);
--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -19,6 +19,7 @@
     body::Body,
     client::conn::http1::{self, SendRequest},
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response,
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -104,6 +105,17 @@
     count: OpenCount,
 }
 
+/// Extension of an answer that decides whether its connection is used again.
+#[derive(Clone, Debug)]
+struct ReuseMark(Arc<AtomicBool>);
+
+/// Has the connection of an answer closed, whether or not the answer is complete.
+pub fn forbid_reuse(answer: &response::Parts) {
+    if let Some(ReuseMark(reusable)) = answer.extensions.get() {
+        reusable.store(false, Ordering::Release);
+    }
+}
+
 /// Pool of connections to one address.
 #[derive(Debug)]
 pub struct ConnectionPool {
@@ -297,10 +309,17 @@
         response: Response<hyper::body::Incoming>,
     ) -> Response<ProxyBody> {
         let pool = Arc::downgrade(self);
-        response.map(|body| {
-            let on_end = move |end| return_to_pool(&pool, connection, end);
+        let reusable = Arc::new(AtomicBool::new(true));
+        let mark = ReuseMark(Arc::clone(&reusable));
+        let mut response = response.map(|body| {
+            let on_end = move |end| match reusable.load(Ordering::Acquire) {
+                true => return_to_pool(&pool, connection, end),
+                false => drop(connection),
+            };
             ObservedBody::new(box_body(body), on_end).boxed_unsync()
-        })
+        });
+        response.extensions_mut().insert(mark);
+        response
     }
 
     /// Locks the idle connections. No holder of the lock panics, so poisoning is
