--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -144,12 +144,6 @@
         offer: OfferId,
         job: OfferJob,
     ) {
-        let notice = self
-            .server(&job.server)
-            .and_then(|server| server.notice_to_tell());
-        if let Some(notice) = notice {
-            transport.send_notice(from, &job.server, notice);
-        }
         let (withdrawn, withdrawal) = oneshot::channel();
         let key = offer_key(from, offer);
         let status = self
@@ -191,6 +185,9 @@
         let held = match self.server(&job.server) {
             None => Err((NotRun::Misdirected, ServerLoad::default())),
             Some(server) => {
+                if let Some(notice) = server.notice_to_tell() {
+                    transport.send_notice(&key.from, &job.server, notice);
+                }
                 let waiting = || send_reply(OfferReply::Waiting(server.load()));
                 let held = tokio::select! {
                     biased;
