--- a/crates/admit/src/pace.rs
+++ b/crates/admit/src/pace.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use ids::{MonoTime, RequestRate};
+use ids::{AccountId, FastMap, FastSet, MonoTime, Rank, RequestRate};
+
+use crate::job::{Job, JobId};
 
 /// Longest time between two dispatches. A server that names a lower rate gets a
 /// request at this interval, because only its answers tell when the limit ends.
@@ -60,3 +62,39 @@
         self.next = self.next - self.interval;
     }
 }
+
+/// Returns the jobs that can't end before their deadline under the pace of dispatches.
+///
+/// `wait` returns the expected wait of a job by the number of jobs before it, and
+/// `soonest_end` is when a job ends that is dispatched now. Jobs of one rank are taken
+/// to be dispatched in turn, one of each account.
+pub(crate) fn late_jobs(
+    jobs: &[Job],
+    soonest_end: MonoTime,
+    wait: impl Fn(usize) -> Duration,
+) -> FastSet<JobId> {
+    let mut counts: FastMap<(bool, Rank, &Option<AccountId>), u32> = FastMap::default();
+    let mut turns: Vec<_> = jobs
+        .iter()
+        .map(|job| {
+            let count = counts
+                .entry((job.internal, job.rank, &job.account))
+                .or_default();
+            *count += 1;
+            (job.internal, job.rank, *count, job)
+        })
+        .collect();
+    turns.sort_by_key(|(internal, rank, count, _)| (*internal, *rank, *count));
+    let mut late = FastSet::default();
+    let mut ahead = 0;
+    for (_, _, _, job) in turns {
+        let wait = wait(ahead);
+        match !wait.is_zero() && job.deadline <= soonest_end + wait {
+            true => {
+                late.insert(job.id);
+            }
+            false => ahead += 1,
+        }
+    }
+    late
+}
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -2,14 +2,14 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use ids::{AccountId, FastMap, FastSet, MonoTime, Rank, RequestRate, Slots, WorkPriority};
+use ids::{AccountId, FastMap, FastSet, MonoTime, RequestRate, Slots, WorkPriority};
 
 use crate::{
     demand::ArrivalWindow,
     flow::{FlowCharge, FlowTable},
     job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal},
     order::{JobOrder, SortedClasses},
-    pace::DispatchPace,
+    pace::{DispatchPace, late_jobs},
 };
 
 /// Interval at which jobs that wait because of reserved slots are considered
@@ -258,40 +258,6 @@
         }
     }
 
-    /// Returns the waiting jobs that can't end before their deadline at the rate that
-    /// the backend server has named. Jobs of one rank are taken to be dispatched in
-    /// turn, one of each account.
-    fn limited_jobs(&self, now: MonoTime) -> FastSet<JobId> {
-        let mut limited = FastSet::default();
-        if self.pace.is_none() {
-            return limited;
-        }
-        let mut counts: FastMap<(bool, Rank, &Option<AccountId>), u32> = FastMap::default();
-        let mut turns: Vec<_> = self
-            .waiting
-            .iter()
-            .map(|job| {
-                let count = counts
-                    .entry((job.internal, job.rank, &job.account))
-                    .or_default();
-                *count += 1;
-                (job.internal, job.rank, *count, job)
-            })
-            .collect();
-        turns.sort_by_key(|(internal, rank, count, _)| (*internal, *rank, *count));
-        let mut ahead = 0;
-        for (_, _, _, job) in turns {
-            let wait = self.pace_wait(now, ahead).mul_f64(REMAINING_SHARE);
-            match !wait.is_zero() && job.deadline <= now + wait + self.min_run_time() {
-                true => {
-                    limited.insert(job.id);
-                }
-                false => ahead += 1,
-            }
-        }
-        limited
-    }
-
     /// Expected time until `job` gets a slot if no job before it leaves the
     /// queue.
     fn expected_wait(&self, job: &Job, classes: &SortedClasses) -> Duration {
@@ -378,7 +344,11 @@
             }
             _ => None,
         };
-        let limited = self.limited_jobs(now);
+        let wait = |ahead| self.pace_wait(now, ahead).mul_f64(REMAINING_SHARE);
+        let limited = match self.pace {
+            Some(_) => late_jobs(&self.waiting, now + run_time, wait),
+            None => FastSet::default(),
+        };
         let refusals: Vec<Option<QueueRefusal>> = self
             .waiting
             .iter()
