A server that left is used again after 60 s though it is still listed

The end of the time was looked at where tables are applied only: the notice itself stayed, was told to ingresses and renewed.

--- a/crates/serve/src/egress/notice.rs
+++ b/crates/serve/src/egress/notice.rs
@@ -25,6 +25,18 @@
     changed_at: MonoTime,
 }
 
+impl KnownNotice {
+    /// Returns the notice at `now`: a server that has said that it leaves counts as
+    /// leaving for [`LEAVING_TIME`].
+    fn at(&self, now: MonoTime) -> ServerNotice {
+        let recent = now.since(self.changed_at) < LEAVING_TIME;
+        ServerNotice {
+            leaving: self.notice.leaving && recent,
+            ..self.notice
+        }
+    }
+}
+
 /// Who told the egress what a backend server says.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum NoticeSource {
@@ -45,7 +57,7 @@
             NoticeSource::Ingress if known.first_hand => return,
             NoticeSource::Ingress => {}
         }
-        let before = known.notice;
+        let before = known.at(now);
         // Requests that were sent before the server began to leave may be answered
         // later, and no request is sent after that.
         let leaving = notice.leaving || before.leaving;
@@ -53,7 +65,9 @@
         if known.notice == before {
             return;
         }
-        known.changed_at = now;
+        if !(leaving && before.leaving) {
+            known.changed_at = now;
+        }
         drop(known);
         if notice.limit != before.limit {
             let limit = notice.limit.map(|limit| limit.to_string());
@@ -77,17 +91,18 @@
 
     /// Returns what ingresses should be told about the server, if anything.
     pub(super) fn notice_to_tell(&self) -> Option<ServerNotice> {
+        let now = self.clock.now();
         let known = self.known_notice();
-        let recent = self.clock.now().since(known.changed_at) < ENDED_TIME;
+        let recent = now.since(known.changed_at) < ENDED_TIME;
         let changed = known.changed_at > MonoTime::ZERO;
-        let telling = known.notice != ServerNotice::default() || (changed && recent);
-        telling.then_some(known.notice)
+        let notice = known.at(now);
+        let telling = notice != ServerNotice::default() || (changed && recent);
+        telling.then_some(notice)
     }
 
     /// Whether the server has said that it is leaving.
     pub(super) fn is_leaving(&self) -> bool {
-        let known = self.known_notice();
-        known.notice.leaving && self.clock.now().since(known.changed_at) < LEAVING_TIME
+        self.known_notice().at(self.clock.now()).leaving
     }
 
     /// Forgets that the server was leaving, since it is no longer listed. If it
