Count the bytes sent to other daemons by kind and distance

Bytes between zones are dear for one group of users, and only the sum of all datagrams was counted. The daemon now counts what it sends by kind of message and by distance of the receiver, on datagrams and on connections; bodies and pulls are counted as parts.

A pull names the daemon that makes it, so that the distance is known. The metric dogwoodshore_peer_bytes is replaced by dogwoodshore_peer_sent_bytes with labels.

--- a/benches/fleet/control.rs
+++ b/benches/fleet/control.rs
@@ -19,13 +19,13 @@
         let (cpu_times, calls) = (fleet.cpu_times(), fleet.platform.calls());
         let mut bytes = 0.0;
         for daemon in &fleet.daemons {
-            bytes -= daemon.metric("dogwoodshore_peer_bytes_total").await;
+            bytes -= daemon.metric("dogwoodshore_peer_sent_bytes_total").await;
         }
         let start = Instant::now();
         tokio::time::sleep(MEASUREMENT_TIME).await;
         let elapsed = start.elapsed().as_secs_f64();
         for daemon in &fleet.daemons {
-            bytes += daemon.metric("dogwoodshore_peer_bytes_total").await;
+            bytes += daemon.metric("dogwoodshore_peer_sent_bytes_total").await;
         }
         let after = fleet.cpu_times();
         let cpu_time = after
--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hop::{OfferId, OfferReply};
 use http_body_util::BodyExt;
-use hyper::{Request, Response, Version, http::request::Parts};
+use hyper::{Request, Response, Version, body::Body, http::request::Parts};
 use ids::{FastMap, FastSet, MonoTime, ServerId};
 use route::AttemptEnd;
 
@@ -21,6 +21,7 @@
     egress::EgressAnswer,
     hop::SearchChannel,
     ingress::Ingress,
+    ledger::SentKind,
     link::SendError,
     pool::{PoolState, ServerChoice, ServerState},
     run::RunOptions,
@@ -319,6 +320,11 @@
         };
         let seal = self.ingress.seal.seal(attempt);
         request.headers_mut().insert(wire::ATTEMPT, seal);
+        if let Some(bytes) = request.body().size_hint().exact() {
+            let ledger = &self.ingress.metrics.ledger;
+            let counter = ledger.counter(SentKind::RequestBody, server.distance);
+            counter.inc_by(bytes);
+        }
         let response = connections.send(request).await?;
         let header = response.headers().get(wire::REPORT);
         let report = header.and_then(|value| self.ingress.seal.open::<EgressReport>(value));
--- a/crates/serve/src/control/adopt.rs
+++ b/crates/serve/src/control/adopt.rs
@@ -63,6 +63,7 @@
     pub(super) fn pull_request(&self) -> PullRequest {
         let table = self.parts.view.table();
         PullRequest {
+            from: self.parts.view.vm.clone(),
             config: table.revision(),
             vms: self.parts.view.vms().revision,
             digests: is_patchable(&table).then(|| BucketDigests::of(&table.records())),
--- a/crates/serve/src/control/peers.rs
+++ b/crates/serve/src/control/peers.rs
@@ -13,7 +13,7 @@
 use mesh::{FrameError, FrameSeal, MAX_FRAME_BYTES, PeerFrame, PeerMessage, ReplayGuard};
 use tokio::net::UdpSocket;
 
-use crate::{metrics::MetricSet, view::FleetView};
+use crate::{ledger::SentKind, metrics::MetricSet, view::FleetView};
 
 /// Maximum number of unlisted peers whose addresses are remembered.
 const MAX_UNLISTED_PEERS: usize = 4_096;
@@ -80,6 +80,7 @@
         let Some(address) = self.address(to) else {
             return;
         };
+        let kind = SentKind::of(&message);
         let frame = PeerFrame {
             from: self.view.vm.clone(),
             to: to.clone(),
@@ -88,7 +89,8 @@
             message,
         };
         if let Ok(bytes) = self.seal.seal(&frame) {
-            self.metrics.peer_bytes.inc_by(bytes.len() as u64);
+            let counter = self.metrics.ledger.counter(kind, self.view.distance(to));
+            counter.inc_by(bytes.len() as u64);
             let _ = self.socket.try_send_to(&bytes, address);
         }
     }
--- a/crates/serve/src/control/pull.rs
+++ b/crates/serve/src/control/pull.rs
@@ -4,7 +4,7 @@
 
 use config::{BucketDigests, Delta, TablePatch, VmList};
 use hyper::{Request, Response, StatusCode};
-use ids::Revision;
+use ids::{Revision, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -24,6 +24,8 @@
 /// Request of a daemon that lags behind.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct PullRequest {
+    /// VM of that daemon.
+    pub from: VmId,
     /// Revision of its configuration.
     pub config: Revision,
     /// Revision of its VM list.
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -201,6 +201,7 @@
             Arc::clone(&view),
             Arc::clone(&connections),
             Arc::clone(&live_settings),
+            Arc::clone(&metrics),
         ));
         let egress = Arc::new(EgressHub::new(
             Arc::clone(&view),
@@ -241,6 +242,8 @@
             egress: Arc::clone(&egress),
             seal: seal.clone(),
             control: control.clone(),
+            view: Arc::clone(&view),
+            metrics: Arc::clone(&metrics),
         });
         let admin = Arc::new(AdminHandler {
             view: Arc::clone(&view),
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -37,6 +37,7 @@
     edge::EdgeCodec,
     evidence::ServerEvidence,
     hop::HopTransport,
+    ledger::StreamMeter,
     link::ConnectionPool,
     task::TaskGroup,
     view::FleetView,
@@ -394,7 +395,12 @@
         }
         EgressServer {
             slots: AtomicU64::new(u64::from(backend.slots.get())),
-            connections: ConnectionPool::new(backend.address, limit, Arc::clone(&self.tasks)),
+            connections: ConnectionPool::new(
+                backend.address,
+                limit,
+                Arc::clone(&self.tasks),
+                StreamMeter::default(),
+            ),
             clock: self.clock,
             state: Mutex::new(QueueState {
                 queue,
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -22,6 +22,7 @@
 mod gate;
 mod hop;
 mod ingress;
+mod ledger;
 mod link;
 mod listener;
 mod metrics;
--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     body::{BodyEnd, ObservedBody, ProxyBody, box_body},
+    ledger::{MeteredStream, StreamMeter},
     task::TaskGroup,
 };
 use http_body_util::BodyExt;
@@ -124,6 +125,7 @@
     open: Arc<AtomicUsize>,
     idle: Mutex<Vec<IdleConnection>>,
     tasks: Arc<TaskGroup>,
+    meter: Arc<StreamMeter>,
     /// Whether a warning about answers without a length was logged.
     warned_no_length: AtomicBool,
     start: Instant,
@@ -141,14 +143,21 @@
 }
 
 impl ConnectionPool {
-    /// Creates a pool of at most `limit` connections, whose tasks run in `tasks`.
-    pub fn new(address: SocketAddr, limit: usize, tasks: Arc<TaskGroup>) -> Arc<Self> {
+    /// Creates a pool of at most `limit` connections, whose tasks run in `tasks`
+    /// and whose bytes are counted by `meter`.
+    pub fn new(
+        address: SocketAddr,
+        limit: usize,
+        tasks: Arc<TaskGroup>,
+        meter: StreamMeter,
+    ) -> Arc<Self> {
         Arc::new(Self {
             address,
             limit,
             open: Arc::default(),
             idle: Mutex::default(),
             tasks,
+            meter: Arc::new(meter),
             warned_no_length: AtomicBool::new(false),
             start: Instant::now(),
             leaving_until_ms: AtomicU64::new(0),
@@ -252,6 +261,8 @@
                 self.address
             );
         }
+        self.meter.count_opened();
+        let stream = MeteredStream::new(stream, Arc::clone(&self.meter));
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
             handshake.map_err(|error| SendError::Unsent(error.to_string()))?;
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     body::ProxyBody,
+    ledger::{MeteredStream, StreamMeter},
     task::{StopSignal, TaskGroup},
 };
 
@@ -122,7 +123,9 @@
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<ProxyBody>>,
 {
-    let service = service_fn(|request| {
+    let meter = Arc::new(StreamMeter::default());
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(Arc::clone(&meter));
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -130,7 +133,10 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_bytes.max(8_192))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(MeteredStream::new(stream, Arc::clone(&meter))),
+            service,
+        );
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -11,6 +11,8 @@
     registry::Registry,
 };
 
+use crate::ledger::ByteLedger;
+
 /// Labels of a metric by outcome.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 pub struct OutcomeLabel {
@@ -62,8 +64,8 @@
     pub config_refused: Counter,
     /// Number of peer messages received, valid and invalid.
     pub peer_messages: Family<OutcomeLabel, Counter>,
-    /// Number of bytes sent in peer messages.
-    pub peer_bytes: Counter,
+    /// Bytes sent to other daemons, by kind and distance.
+    pub ledger: ByteLedger,
     /// Number of open connections of callers.
     pub connections: Gauge,
     /// Number of backend servers of this VM that have named a limit.
@@ -92,7 +94,7 @@
             fallback_reads: Counter::default(),
             config_refused: Counter::default(),
             peer_messages: Family::default(),
-            peer_bytes: Counter::default(),
+            ledger: ByteLedger::default(),
             connections: Gauge::default(),
             limited_servers: Gauge::default(),
             waiting: Gauge::default(),
@@ -168,9 +170,19 @@
             self.peer_messages.clone(),
         );
         registry.register(
-            "peer_bytes",
-            "Bytes of peer messages sent",
-            self.peer_bytes.clone(),
+            "peer_sent_bytes",
+            "Bytes sent to other daemons by kind and distance",
+            self.ledger.whole.clone(),
+        );
+        registry.register(
+            "peer_part_bytes",
+            "Bytes sent to other daemons that are also part of another kind",
+            self.ledger.parts.clone(),
+        );
+        registry.register(
+            "peer_connections_opened",
+            "Connections opened to other daemons by distance",
+            self.ledger.connections.clone(),
         );
         registry.register(
             "connections",
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -4,14 +4,20 @@
 
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONNECTION, HeaderValue},
 };
 
+use ids::VmId;
+use route::Distance;
+
 use crate::{
     body::{ProxyBody, box_body, empty_body},
     control::{ControlSender, PullRequest, reply_to_pull},
     egress::EgressHub,
+    ledger::{SentKind, StreamMeter},
+    metrics::MetricSet,
+    view::FleetView,
     wire::{self, Attempt, EgressOutcome, HeaderSeal},
 };
 
@@ -24,6 +30,10 @@
     pub seal: HeaderSeal,
     /// Queue of the control loop, which replies to pulls.
     pub control: ControlSender,
+    /// The fleet, for the distance of the peer.
+    pub view: Arc<FleetView>,
+    /// Metrics of the daemon.
+    pub metrics: Arc<MetricSet>,
 }
 
 impl PeerHandler {
@@ -32,7 +42,10 @@
     pub async fn serve(&self, mut request: Request<Incoming>) -> Response<ProxyBody> {
         let pull = request.headers_mut().remove(wire::PULL);
         if let Some(pull) = pull.and_then(|value| self.seal.open::<PullRequest>(&value)) {
-            return reply_to_pull(&self.control, &self.seal, pull).await;
+            let distance = self.identify(&request, &pull.from);
+            let response = reply_to_pull(&self.control, &self.seal, pull).await;
+            self.count_body(SentKind::Pull, distance, &response);
+            return response;
         }
         let header = request.headers_mut().remove(wire::ATTEMPT);
         let attempt = header.and_then(|value| self.seal.open::<Attempt>(&value));
@@ -45,6 +58,7 @@
             Some(attempt) if attempt.target_hash == target => attempt,
             _ => return status_response(StatusCode::FORBIDDEN),
         };
+        let distance = self.identify(&request, &attempt.from);
         let answer = self.egress.commit(&attempt, request.map(box_body)).await;
         let mut response = match answer.response {
             Some(response) => response,
@@ -58,8 +72,26 @@
             // it while another request is on its way.
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        self.count_body(SentKind::AnswerBody, distance, &response);
         response
     }
+
+    /// Returns the distance of the peer that sent a request, and has the bytes
+    /// written to its connection counted.
+    fn identify(&self, request: &Request<Incoming>, from: &VmId) -> Distance {
+        let distance = self.view.distance(from);
+        if let Some(meter) = request.extensions().get::<Arc<StreamMeter>>() {
+            meter.identify(self.metrics.ledger.counter(SentKind::Answer, distance));
+        }
+        distance
+    }
+
+    /// Counts the body of an answer, if its length is known.
+    fn count_body(&self, kind: SentKind, distance: Distance, response: &Response<ProxyBody>) {
+        if let Some(bytes) = response.body().size_hint().exact() {
+            self.metrics.ledger.counter(kind, distance).inc_by(bytes);
+        }
+    }
 }
 
 /// Returns the status of an answer that does not come from a backend server.
--- a/crates/serve/src/pool/table.rs
+++ b/crates/serve/src/pool/table.rs
@@ -9,7 +9,10 @@
 use route::{Distance, LatencyQuantile};
 
 use super::{PoolState, ServerState};
-use crate::{link::ConnectionPool, settings::LiveSettings, task::TaskGroup, view::FleetView};
+use crate::{
+    link::ConnectionPool, metrics::MetricSet, settings::LiveSettings, task::TaskGroup,
+    view::FleetView,
+};
 
 /// Quantile of the latency after which idempotent requests are hedged.
 const HEDGE_QUANTILE: f64 = 0.95;
@@ -24,13 +27,20 @@
     pools: ArcSwap<FastMap<ServiceId, Arc<PoolState>>>,
     peers: ArcSwap<FastMap<VmId, Arc<ConnectionPool>>>,
     settings: LiveSettings,
+    metrics: Arc<MetricSet>,
 }
 
 impl PoolTable {
     /// Creates an empty table. The tasks of its connections join `tasks`.
-    pub fn new(view: Arc<FleetView>, tasks: Arc<TaskGroup>, settings: LiveSettings) -> Self {
+    pub fn new(
+        view: Arc<FleetView>,
+        tasks: Arc<TaskGroup>,
+        settings: LiveSettings,
+        metrics: Arc<MetricSet>,
+    ) -> Self {
         Self {
             settings,
+            metrics,
             view,
             tasks,
             pools: ArcSwap::default(),
@@ -162,7 +172,9 @@
         {
             return Some(Arc::clone(connections));
         }
-        let connections = ConnectionPool::new(address, PEER_CONNECTIONS, Arc::clone(&self.tasks));
+        let meter = self.metrics.ledger.opened(self.view.distance(vm));
+        let tasks = Arc::clone(&self.tasks);
+        let connections = ConnectionPool::new(address, PEER_CONNECTIONS, tasks, meter);
         self.peers.rcu(|peers| {
             let mut peers = FastMap::clone(peers);
             peers.insert(vm.clone(), Arc::clone(&connections));
