Gossip sends as little between zones, whatever the size of a zone

By the new test a zone of 373 daemons sent 220 KB/s between zones at a change a second.

Between zones there are announcements without records now, and exchanges; each daemon draws whether it sends one, so that a zone sends four a change and two exchanges a second on average. There is no bridge whose failure matters. A zone whose readers have lost the platform pulls what was announced, and lost_readers_are_replaced and zone_without_readers_hears hold as before.

zone_sends_alike failed before for 27, 300 and 4,100 daemons (6.9, 35 and 220 KB/s for a zone against 1 KB/s).

--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -3,8 +3,10 @@
 //! In each zone a few daemons, the readers, watch the platform. A daemon pushes
 //! a new revision to random peers, exchanges revisions with a random peer at
 //! fixed intervals, and pulls what it lacks. Since each zone has readers of its
-//! own, revisions are disseminated mostly inside zones; a few messages cross
-//! zones, for a zone whose readers are cut off from the platform.
+//! own, records are pushed inside zones only. Short messages cross zones, for a
+//! zone whose readers are cut off from the platform. Each daemon sends them with a
+//! probability that makes a zone send as many, whatever its size, and no daemon's
+//! failure ends them.
 
 use std::time::Duration;
 
@@ -16,11 +18,12 @@
 
 /// Number of peers in the same zone to which a new revision is pushed.
 const ZONE_FANOUT: usize = 5;
-/// Number of peers in other zones to which a new revision is pushed. One is
-/// enough for a zone without readers to receive the revision within a second.
-const CROSS_ZONE_FANOUT: usize = 1;
-/// Fraction of the exchanges that are made with peers in other zones.
-const CROSS_ZONE_EXCHANGES: f64 = 0.25;
+/// Mean number of daemons of a zone that announce a new revision to a peer in
+/// another zone, which pulls it unless its own zone tells it soon.
+const CROSS_ZONE_ANNOUNCEMENTS: f64 = 4.0;
+/// Mean number of daemons of a zone that make an exchange with a peer in another
+/// zone in each interval between exchanges.
+const CROSS_ZONE_EXCHANGES: f64 = 1.0;
 /// Time after the first announcement of a newer revision during which it is
 /// pulled only from peers in the same zone: a few round trips and a scheduling
 /// delay of a busy process.
@@ -283,21 +286,25 @@
         self.behind_since = None;
         self.remote_source = None;
         let text = delta.map(|delta| Box::new(DeltaText::new(delta)));
+        let known = self.known(now);
         let message = PeerMessage::Push {
-            known: self.known(now),
+            known,
             delta: text.filter(|text| text.len() <= MAX_PUSHED_DELTA_BYTES),
         };
-        let local = self.zone_peers.sample(&mut self.rng, ZONE_FANOUT).cloned();
-        let mut peers: Vec<VmId> = local.collect();
-        // In a zone with few VMs, the remaining pushes go to other zones.
-        let remote_count = ZONE_FANOUT + CROSS_ZONE_FANOUT - peers.len();
-        peers.extend(
-            self.remote_peers
-                .sample(&mut self.rng, remote_count)
-                .cloned(),
-        );
-        let send = |to| GossipAction::Send(to, message.clone());
-        actions.extend(peers.into_iter().map(send));
+        let peers = self.zone_peers.sample(&mut self.rng, ZONE_FANOUT).cloned();
+        actions.extend(peers.map(|to| GossipAction::Send(to, message.clone())));
+        if self.is_drawn(CROSS_ZONE_ANNOUNCEMENTS) {
+            let peer = self.remote_peers.choose(&mut self.rng).cloned();
+            let message = PeerMessage::Push { known, delta: None };
+            actions.extend(peer.map(|to| GossipAction::Send(to, message)));
+        }
+    }
+
+    /// Draws whether this daemon sends a message to another zone, so that `mean`
+    /// daemons of its zone do so on average.
+    fn is_drawn(&mut self, mean: f64) -> bool {
+        let daemons = self.zone_peers.len() as f64 + 1.0;
+        self.rng.random_bool((mean / daemons).min(1.0))
     }
 
     /// Handles the revisions of a peer.
@@ -433,9 +440,9 @@
         Duration::from_secs_f64(daemons / FLEET_FALLBACKS_PER_S)
     }
 
-    /// Returns a random peer, in most cases one in the same zone.
+    /// Returns a random peer, in most cases one in the same zone if there is any.
     fn random_peer(&mut self) -> Option<VmId> {
-        let remote = self.zone_peers.is_empty() || self.rng.random_bool(CROSS_ZONE_EXCHANGES);
+        let remote = self.is_drawn(CROSS_ZONE_EXCHANGES);
         let peers = match remote && !self.remote_peers.is_empty() {
             true => &self.remote_peers,
             false => &self.zone_peers,
