A request that waits stays in its zone while it can meet its target

Two servers were asked for a slot: one of the caller's zone, and 15 ms later one of any zone. The second candidate of the first choice came from all zones too, even with an idle server in the own zone (790 of 2,000 choices in idle_server_of_zone_first on the old code).

The choice draws two candidates in the zone and one elsewhere, and the distance costs an eighth of the time left until the target latency, 10 to 250 ms. A request that waits is tied to a second server of its zone for as long; then the longer of its two queues is left for a server of any zone. A daemon that is silent ends the patience at once.

idle_server_of_zone_first failed before; short_wait_stays_in_zone, long_wait_leaves_zone, lone_server_of_zone and silent_daemon_ends_patience are new and fail with offers to any zone. The tests of the choice pass three random numbers now, their bounds are unchanged.

--- a/crates/hop/src/lib.rs
+++ b/crates/hop/src/lib.rs
@@ -21,4 +21,4 @@
     EgressIncarnation, HopMessage, NotRun, OfferId, OfferJob, OfferReply, ServerLoad,
 };
 pub use notice::ServerNotice;
-pub use search::{SearchAction, SearchEvent, SearchOptions, SlotSearch};
+pub use search::{SearchAction, SearchEvent, SearchOptions, SearchReach, SlotSearch};
--- a/crates/hop/src/search.rs
+++ b/crates/hop/src/search.rs
@@ -5,6 +5,10 @@
 //! other offers are withdrawn. If a daemon does not reply to an offer, another
 //! server is asked within milliseconds, long before a timeout would show that
 //! the daemon is suspended or unreachable.
+//!
+//! Traffic between zones costs money, so a request that waits is tied to servers of
+//! its own zone first, and to others once it has waited for
+//! [`SearchOptions::zone_patience`].
 
 use std::time::Duration;
 
@@ -40,6 +44,17 @@
     pub deadline: MonoTime,
     /// Maximum number of servers that are asked.
     pub max_offers: usize,
+    /// Time for which a request that waits is offered in its own zone only.
+    pub zone_patience: Duration,
+}
+
+/// Servers that an offer may be made to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SearchReach {
+    /// Those in the availability zone of the ingress.
+    Zone,
+    /// All servers of the service.
+    Fleet,
 }
 
 /// Input of a search.
@@ -66,6 +81,8 @@
         /// is considered failing: such a server has no queue, so its grant
         /// would arrive before that of any healthy server.
         last_resort: bool,
+        /// Servers that the offer may be made to.
+        reach: SearchReach,
     },
     /// Send an offer again.
     Repeat(OfferId),
@@ -87,6 +104,9 @@
     made_at: MonoTime,
     sent_at: MonoTime,
     replied_at: Option<MonoTime>,
+    /// Wait for a slot that the egress last reported, in microseconds.
+    delay_us: u64,
+    reach: SearchReach,
     /// Whether another server was asked in addition.
     tied: bool,
     /// Whether the daemon counts as silent, so that another server may be asked
@@ -134,6 +154,12 @@
     offers_made: usize,
     reason: Option<NotRun>,
     next_id: u64,
+    /// Start of the search.
+    started: MonoTime,
+    /// Whether there is no server left to ask in the zone of the ingress.
+    zone_exhausted: bool,
+    /// Whether servers in other zones were asked in addition.
+    left_zone: bool,
     done: bool,
 }
 
@@ -149,6 +175,9 @@
             offers_made: 0,
             reason: None,
             next_id: first_id.0,
+            started: MonoTime::ZERO,
+            zone_exhausted: false,
+            left_zone: false,
             done: false,
         }
     }
@@ -159,7 +188,10 @@
         match event {
             _ if self.done => {}
             _ if now >= self.options.deadline => self.fail(Some(NotRun::Expired), &mut actions),
-            SearchEvent::Start => self.make_offer(now, &mut actions),
+            SearchEvent::Start => {
+                self.started = now;
+                self.make_offer(now, &mut actions);
+            }
             SearchEvent::Reply(id, reply) => self.handle_reply(now, id, reply, &mut actions),
             SearchEvent::NoServer(id) => self.cancel_offer(id, &mut actions),
             SearchEvent::Tick => self.handle_tick(now, &mut actions),
@@ -171,11 +203,18 @@
     pub fn next_tick(&self) -> MonoTime {
         let may_tie = self.may_offer();
         let times = self.open.iter().flat_map(|offer| {
-            let tie = ((may_tie && !offer.tied) || (offer.replied_at.is_none() && !offer.silent))
-                .then(|| offer.tie_at());
-            [Some(offer.repeat_at()), Some(offer.give_up_at()), tie]
+            let silent = (offer.replied_at.is_none() && !offer.silent).then(|| offer.tie_at());
+            let tie = (may_tie && !offer.tied).then(|| self.tie_at(offer));
+            [
+                Some(offer.repeat_at()),
+                Some(offer.give_up_at()),
+                silent,
+                tie,
+            ]
         });
-        let next = times.flatten().min().unwrap_or(self.options.deadline);
+        let leave = self.may_leave_zone().then(|| self.leave_zone_at());
+        let next = times.chain([leave]).flatten().min();
+        let next = next.unwrap_or(self.options.deadline);
         next.min(self.options.deadline)
     }
 
@@ -196,7 +235,8 @@
             return;
         };
         match reply {
-            OfferReply::Waiting(_) => {
+            OfferReply::Waiting(load) => {
+                self.open[index].delay_us = load.delay_us;
                 self.open[index].replied_at = Some(now);
                 self.open[index].silent = false;
             }
@@ -244,17 +284,75 @@
             offer.sent_at = now;
             actions.push(SearchAction::Repeat(offer.id));
         }
-        let due = |offer: &&mut OpenOffer| !offer.tied && offer.tie_at() <= now;
-        let may_offer = self.may_offer();
-        if may_offer && let Some(offer) = self.open.iter_mut().find(due) {
-            offer.tied = true;
-            self.make_offer(now, actions);
+        let due = |offer: &OpenOffer| !offer.tied && self.tie_at(offer) <= now;
+        let tie = self.open.iter().position(due);
+        match tie {
+            _ if self.may_leave_zone() && self.leave_zone_at() <= now => {
+                self.leave_zone(now, actions);
+            }
+            Some(index) if self.may_offer() => {
+                self.open[index].tied = true;
+                self.make_offer(now, actions);
+            }
+            _ => {}
         }
         if self.open.is_empty() {
             self.continue_search(now, actions);
         }
     }
 
+    /// Returns when another server may be asked in addition to that of an offer.
+    fn tie_at(&self, offer: &OpenOffer) -> MonoTime {
+        match offer.replied_at {
+            Some(_) if self.zone_exhausted => offer.tie_at().max(self.leave_zone_at()),
+            _ => offer.tie_at(),
+        }
+    }
+
+    /// Returns when servers in other zones may be asked in addition.
+    fn leave_zone_at(&self) -> MonoTime {
+        self.started + self.options.zone_patience
+    }
+
+    /// Whether the request waits at as many servers of its zone as it may, so that
+    /// one of these offers has to be withdrawn before another zone is asked.
+    fn may_leave_zone(&self) -> bool {
+        let responsive = self.open.iter().filter(|offer| !offer.silent);
+        let full = responsive.clone().count() >= MAX_OPEN_OFFERS;
+        let in_zone = responsive
+            .clone()
+            .any(|offer| offer.reach == SearchReach::Zone);
+        let allowed = self.offers_made < self.options.max_offers && !self.left_zone;
+        full && in_zone && allowed && !self.done
+    }
+
+    /// Withdraws the offer with the longest wait and asks a server of any zone
+    /// instead.
+    fn leave_zone(&mut self, now: MonoTime, actions: &mut Vec<SearchAction>) {
+        self.left_zone = true;
+        let responsive = self.open.iter().filter(|offer| !offer.silent);
+        let longest = responsive.max_by_key(|offer| offer.delay_us);
+        let Some(id) = longest.map(|offer| offer.id) else {
+            return;
+        };
+        self.open.retain(|offer| offer.id != id);
+        actions.push(SearchAction::Withdraw(id));
+        for offer in &mut self.open {
+            offer.tied = true;
+        }
+        self.make_offer(now, actions);
+    }
+
+    /// Returns the servers that the next offer may be made to. A request that no
+    /// egress has queued may go anywhere.
+    fn next_reach(&self, now: MonoTime) -> SearchReach {
+        let waits = self.open.iter().any(|offer| offer.replied_at.is_some());
+        match waits && !self.zone_exhausted && now < self.leave_zone_at() {
+            true => SearchReach::Zone,
+            false => SearchReach::Fleet,
+        }
+    }
+
     /// Asks the next server if no offer is open, and fails if none may be
     /// asked.
     fn continue_search(&mut self, now: MonoTime, actions: &mut Vec<SearchAction>) {
@@ -278,6 +376,7 @@
     fn make_offer(&mut self, now: MonoTime, actions: &mut Vec<SearchAction>) {
         let id = OfferId(self.next_id);
         let last_resort = self.open.is_empty();
+        let reach = self.next_reach(now);
         self.next_id = self.next_id.wrapping_add(1);
         self.offers_made += 1;
         self.open.push(OpenOffer {
@@ -285,21 +384,31 @@
             made_at: now,
             sent_at: now,
             replied_at: None,
+            delay_us: 0,
+            reach,
             tied: false,
             silent: false,
         });
-        actions.push(SearchAction::Offer { id, last_resort });
+        actions.push(SearchAction::Offer {
+            id,
+            last_resort,
+            reach,
+        });
     }
 
     /// Removes an offer for which there was no server.
     ///
-    /// Other open offers remain, and another server is asked only when one of
-    /// them ends.
+    /// Other open offers remain. If there was no server in the zone, others are
+    /// asked later; if there was none at all, another server is asked only when one
+    /// of the offers ends.
     fn cancel_offer(&mut self, id: OfferId, actions: &mut Vec<SearchAction>) {
+        let cancelled = self.open.iter().find(|offer| offer.id == id);
+        let in_zone = cancelled.is_some_and(|offer| offer.reach == SearchReach::Zone);
         self.open.retain(|offer| offer.id != id);
         self.offers_made -= 1;
+        self.zone_exhausted |= in_zone;
         for offer in &mut self.open {
-            offer.tied = true;
+            offer.tied = !in_zone;
         }
         self.fail_if_empty(actions);
     }
--- a/crates/hop/tests/slot_search.rs
+++ b/crates/hop/tests/slot_search.rs
@@ -5,7 +5,7 @@
 
 use hop::{
     EgressIncarnation, NotRun, OfferId, OfferReply, SearchAction, SearchEvent, SearchOptions,
-    ServerLoad, SlotSearch,
+    SearchReach, ServerLoad, SlotSearch,
 };
 use ids::MonoTime;
 
@@ -18,6 +18,17 @@
     SearchAction::Offer {
         id: OfferId(id),
         last_resort: false,
+        reach: SearchReach::Fleet,
+    }
+}
+
+/// Returns the action that makes an offer in the zone of the ingress while another
+/// one is open.
+fn zone_offer(id: u64) -> SearchAction {
+    SearchAction::Offer {
+        id: OfferId(id),
+        last_resort: false,
+        reach: SearchReach::Zone,
     }
 }
 
@@ -26,6 +37,7 @@
     SearchAction::Offer {
         id: OfferId(id),
         last_resort: true,
+        reach: SearchReach::Fleet,
     }
 }
 
@@ -33,6 +45,7 @@
     let options = SearchOptions {
         deadline: at(3_000),
         max_offers: 4,
+        zone_patience: Duration::ZERO,
     };
     let mut search = SlotSearch::new(options, OfferId(0));
     let actions = search.handle(at(0), SearchEvent::Start);
@@ -44,6 +57,14 @@
     SearchEvent::Reply(OfferId(id), OfferReply::Waiting(ServerLoad::default()))
 }
 
+fn waiting_for(id: u64, millis: u64) -> SearchEvent {
+    let load = ServerLoad {
+        delay_us: millis * 1_000,
+        ..ServerLoad::default()
+    };
+    SearchEvent::Reply(OfferId(id), OfferReply::Waiting(load))
+}
+
 fn granted(id: u64) -> SearchEvent {
     SearchEvent::Reply(OfferId(id), OfferReply::Granted(EgressIncarnation(7)))
 }
@@ -222,6 +243,7 @@
     let options = SearchOptions {
         deadline: at(20_000),
         max_offers: 1,
+        zone_patience: Duration::ZERO,
     };
     let mut search = SlotSearch::new(options, OfferId(0));
     search.handle(at(0), SearchEvent::Start);
@@ -248,3 +270,79 @@
         given_up = withdrawn.then_some(now);
     }
 }
+
+/// Starts a search that stays in its zone for 100 ms.
+fn zone_search() -> SlotSearch {
+    let options = SearchOptions {
+        deadline: at(3_000),
+        max_offers: 6,
+        zone_patience: Duration::from_millis(100),
+    };
+    let mut search = SlotSearch::new(options, OfferId(0));
+    let actions = search.handle(at(0), SearchEvent::Start);
+    assert_eq!(actions, [last_resort(0)]);
+    search
+}
+
+// Guards against offers between zones for requests that get a slot in their own
+// zone in time: a busy server had a second one asked anywhere after 15 ms.
+#[test]
+fn short_wait_stays_in_zone() {
+    let mut search = zone_search();
+    search.handle(at(1), waiting(0));
+    let actions = search.handle(at(16), SearchEvent::Tick);
+    assert_eq!(actions, [zone_offer(1)]);
+    search.handle(at(17), waiting(1));
+    assert_eq!(search.handle(at(60), SearchEvent::Tick), []);
+    let actions = search.handle(at(90), granted(1));
+    let expected = [
+        SearchAction::Withdraw(OfferId(0)),
+        SearchAction::Commit(OfferId(1), EgressIncarnation(7)),
+    ];
+    assert_eq!(actions, expected);
+}
+
+#[test]
+fn long_wait_leaves_zone() {
+    let mut search = zone_search();
+    search.handle(at(1), waiting_for(0, 400));
+    search.handle(at(16), SearchEvent::Tick);
+    search.handle(at(17), waiting_for(1, 300));
+    assert!(search.next_tick() <= at(100), "{}", search.next_tick());
+    let actions = search.handle(at(100), SearchEvent::Tick);
+    // The longer of the two queues is left.
+    assert_eq!(actions, [SearchAction::Withdraw(OfferId(0)), offer(2)]);
+    // Without a server elsewhere, the search goes on with the other queue.
+    assert_eq!(
+        search.handle(at(100), SearchEvent::NoServer(OfferId(2))),
+        []
+    );
+    let actions = search.handle(at(300), granted(1));
+    let expected = [SearchAction::Commit(OfferId(1), EgressIncarnation(7))];
+    assert_eq!(actions, expected);
+}
+
+#[test]
+fn lone_server_of_zone() {
+    // The zone has one server, so other zones are asked, but not before its queue
+    // has turned out to be long.
+    let mut search = zone_search();
+    search.handle(at(1), waiting(0));
+    let actions = search.handle(at(16), SearchEvent::Tick);
+    assert_eq!(actions, [zone_offer(1)]);
+    assert_eq!(search.handle(at(16), SearchEvent::NoServer(OfferId(1))), []);
+    assert_eq!(search.handle(at(50), SearchEvent::Tick), []);
+    assert!(search.next_tick() <= at(100), "{}", search.next_tick());
+    let actions = search.handle(at(100), SearchEvent::Tick);
+    assert_eq!(actions, [offer(2)]);
+}
+
+#[test]
+fn silent_daemon_ends_patience() {
+    // Nobody is known to have queued the request, so it is offered anywhere.
+    let mut search = zone_search();
+    search.handle(at(26), SearchEvent::Tick);
+    let actions = search.handle(at(41), SearchEvent::Tick);
+    let expected = [SearchAction::RecordSilent(OfferId(0)), offer(1)];
+    assert_eq!(actions, expected);
+}
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -1,5 +1,6 @@
 //! Choice of a backend server by the power of two choices: of two random
-//! candidates, the one with the shorter expected delay is taken.
+//! candidates in the zone and one in another, the one with the shortest expected
+//! delay is taken, where distance counts as delay.
 
 use std::time::Duration;
 
@@ -52,7 +53,7 @@
 
 impl Candidate {
     /// Whether it is in the availability zone of this daemon.
-    fn is_same_zone(&self) -> bool {
+    pub fn is_same_zone(&self) -> bool {
         matches!(self.distance, Distance::Local | Distance::Zone)
     }
 }
@@ -75,46 +76,37 @@
     wait.div_f64(candidate.weight.clamp(0.01, 1.0))
 }
 
-/// Returns the index of the better of two random candidates, or `None` if no
-/// candidate has a weight above 0.
+/// Returns the index of the best of at most three random candidates, or `None` if
+/// no candidate has a weight above 0.
 ///
-/// `random` holds two independent random numbers. Candidates are drawn with a
+/// `random` holds independent random numbers. Candidates are drawn with a
 /// probability proportional to their weight, so that a backend server in slow
-/// start gets its share and no more. The first candidate is drawn from the
-/// availability zone of this daemon, if there are any, because traffic between
-/// zones costs money. The second is drawn from all zones, and so shows when this
-/// zone is short of slots. `zone_penalty` is the delay that a candidate in
-/// another zone must save to be preferred.
+/// start gets its share and no more. Two are drawn from the availability zone of
+/// this daemon, if there are any, because traffic between zones costs money. The
+/// third is drawn from the other zones, and so shows when this zone is short of
+/// slots. `zone_penalty` is the delay that a candidate in another zone must save
+/// to be preferred.
 pub fn choose_server(
     candidates: &[Candidate],
-    random: [u64; 2],
+    random: [u64; 3],
     zone_penalty: Duration,
 ) -> Option<usize> {
-    let total: f64 = candidates.iter().map(|item| item.weight).sum();
-    let same_zone: Vec<Candidate> = candidates.iter().map(same_zone_only).collect();
-    let same_zone_total = same_zone.iter().map(|item| item.weight).sum();
-    let first = match same_zone_total > 0.0 {
-        true => draw(&same_zone, same_zone_total, random[0])?,
-        false => draw(candidates, total, random[0])?,
-    };
-    let rest = total - candidates[first].weight;
-    let second = match rest {
-        rest if rest <= 0.0 => return Some(first),
-        rest => draw_except(candidates, rest, random[1], first)?,
+    let is_near = |item: &Candidate| item.is_same_zone();
+    let is_far = |item: &Candidate| !item.is_same_zone();
+    let near = draw_pair(candidates, is_near, [random[0], random[1]]);
+    let far = match near[0] {
+        Some(_) => [draw_among(candidates, is_far, random[2], None), None],
+        None => draw_pair(candidates, is_far, [random[0], random[1]]),
     };
-    let cost = |index: usize| {
-        let extra = if candidates[index].is_same_zone() {
-            Duration::ZERO
-        } else {
-            zone_penalty
+    let cost = |index: &usize| {
+        let extra = match candidates[*index].is_same_zone() {
+            true => Duration::ZERO,
+            false => zone_penalty,
         };
-        expected_delay(&candidates[index]) + extra
+        expected_delay(&candidates[*index]) + extra
     };
-    let pair = [first, second].map(cost);
-    match pair[0] <= pair[1] {
-        true => Some(first),
-        false => Some(second),
-    }
+    // The first of equals is taken, which is one in this zone.
+    near.into_iter().chain(far).flatten().min_by_key(cost)
 }
 
 /// Weight of an ejected candidate that is returned to rotation because of the
@@ -138,35 +130,40 @@
     }
 }
 
-/// Returns the candidate, with a weight of 0 if it is in another zone.
-fn same_zone_only(candidate: &Candidate) -> Candidate {
-    Candidate {
-        weight: if candidate.is_same_zone() {
-            candidate.weight
-        } else {
-            0.0
-        },
-        ..*candidate
-    }
-}
-
-/// Draws an index with a probability proportional to the weight.
-fn draw(candidates: &[Candidate], total: f64, random: u64) -> Option<usize> {
-    draw_except(candidates, total, random, usize::MAX)
+/// Draws the indexes of two different candidates for which `is_eligible` holds.
+fn draw_pair(
+    candidates: &[Candidate],
+    is_eligible: impl Fn(&Candidate) -> bool,
+    random: [u64; 2],
+) -> [Option<usize>; 2] {
+    let first = draw_among(candidates, &is_eligible, random[0], None);
+    let second = first.and_then(|_| draw_among(candidates, &is_eligible, random[1], first));
+    [first, second]
 }
 
-/// Draws the index of a candidate other than `skip`, with a probability
-/// proportional to its weight. `total` is the sum of the weights without that of
-/// `skip`.
-fn draw_except(candidates: &[Candidate], total: f64, random: u64, skip: usize) -> Option<usize> {
+/// Draws the index of a candidate other than `skip` for which `is_eligible` holds,
+/// with a probability proportional to its weight.
+fn draw_among(
+    candidates: &[Candidate],
+    is_eligible: impl Fn(&Candidate) -> bool,
+    random: u64,
+    skip: Option<usize>,
+) -> Option<usize> {
+    let weight = |(index, item): (usize, &Candidate)| match Some(index) != skip {
+        true if is_eligible(item) => item.weight.max(0.0),
+        _ => 0.0,
+    };
+    let total: f64 = candidates.iter().enumerate().map(weight).sum();
     let mut left = total * (random as f64 / u64::MAX as f64);
     let mut last = None;
-    for (index, candidate) in candidates.iter().enumerate() {
-        if index == skip || candidate.weight <= 0.0 {
+    for entry in candidates.iter().enumerate() {
+        let index = entry.0;
+        let weight = weight(entry);
+        if weight <= 0.0 {
             continue;
         }
         last = Some(index);
-        left -= candidate.weight;
+        left -= weight;
         if left <= 0.0 {
             break;
         }
--- a/crates/route/tests/server_choice.rs
+++ b/crates/route/tests/server_choice.rs
@@ -49,7 +49,7 @@
     let mut rng = StdRng::seed_from_u64(7);
     let mut first = 0;
     for _ in 0..10_000 {
-        let random = [rng.next_u64(), rng.next_u64()];
+        let random = [rng.next_u64(), rng.next_u64(), rng.next_u64()];
         first += usize::from(choose_server(candidates, random, Duration::ZERO) == Some(0));
     }
     first as f64 / 10_000.0
@@ -70,12 +70,12 @@
 #[test]
 fn none_in_rotation() {
     assert_eq!(
-        choose_server(&[EJECTED, EJECTED], [1, 2], Duration::ZERO),
+        choose_server(&[EJECTED, EJECTED], [1, 2, 3], Duration::ZERO),
         None
     );
-    assert_eq!(choose_server(&[], [1, 2], Duration::ZERO), None);
+    assert_eq!(choose_server(&[], [1, 2, 3], Duration::ZERO), None);
     assert_eq!(
-        choose_server(&[IDLE], [u64::MAX, u64::MAX], Duration::ZERO),
+        choose_server(&[IDLE], [u64::MAX; 3], Duration::ZERO),
         Some(0)
     );
 }
@@ -103,7 +103,7 @@
 
 #[test]
 fn other_zone_penalty() {
-    let random = [1, u64::MAX];
+    let random = [1, u64::MAX, u64::MAX];
     let penalty = Duration::from_millis(10);
     assert_eq!(choose_server(&[FULL, OTHER_ZONE], random, penalty), Some(0));
     assert_eq!(
@@ -111,3 +111,31 @@
         Some(1)
     );
 }
+
+/// Load of a zone with one idle server among busy ones, beside an idle zone.
+const MIXED_ZONE: [Candidate; 6] = [QUEUED, IDLE, OTHER_ZONE, OTHER_ZONE, OTHER_ZONE, OTHER_ZONE];
+
+// Guards against requests that leave their zone while a server there is idle: the
+// other of two candidates was drawn from all zones.
+#[test]
+fn idle_server_of_zone_first() {
+    let mut rng = StdRng::seed_from_u64(11);
+    let penalty = Duration::from_millis(10);
+    let mut choices = [0_u32; MIXED_ZONE.len()];
+    for _ in 0..2_000 {
+        let random = [rng.next_u64(), rng.next_u64(), rng.next_u64()];
+        choices[choose_server(&MIXED_ZONE, random, penalty).unwrap()] += 1;
+    }
+    assert_eq!(choices[1], 2_000, "{choices:?}");
+}
+
+#[test]
+fn queues_of_zone_before_distance() {
+    // Waiting for less than the price of distance is better than leaving the zone.
+    let candidates = [QUEUED, QUEUED, OTHER_ZONE];
+    for (penalty_ms, stays) in [(10, false), (60, true)] {
+        let penalty = Duration::from_millis(penalty_ms);
+        let index = choose_server(&candidates, [1, 2, 3], penalty).unwrap();
+        assert_eq!(index < 2, stays, "{penalty_ms} ms");
+    }
+}
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -5,7 +5,7 @@
 
 use hop::{
     EgressIncarnation, OfferId, OfferJob, OfferReply, SearchAction, SearchEvent, SearchOptions,
-    ServerNotice, SlotSearch,
+    SearchReach, ServerNotice, SlotSearch,
 };
 use ids::{VmId, Weight};
 
@@ -18,10 +18,20 @@
 
 /// Maximum number of servers that one search asks.
 const MAX_OFFERS: usize = 10;
+/// Ratio of the time left until the target latency to the wait that is preferred
+/// to a server in another zone.
+const ZONE_PATIENCE_DIVISOR: u32 = 8;
+/// Bounds of that wait.
+const MIN_ZONE_PATIENCE: Duration = Duration::from_millis(10);
+const MAX_ZONE_PATIENCE: Duration = Duration::from_millis(250);
+/// Shortest such wait for a bulk transfer, which has a large answer.
+const MIN_BULK_ZONE_PATIENCE: Duration = Duration::from_millis(120);
 
 /// Servers that an offer may go to in addition to the healthy ones.
 #[derive(Clone, Copy, Debug)]
 struct OfferLimits {
+    /// Servers that it may go to.
+    reach: SearchReach,
     /// Whether it may go to a server on probation, as a canary.
     may_canary: bool,
     /// Whether it may go to a server that is considered failing.
@@ -93,6 +103,7 @@
         let options = SearchOptions {
             deadline: self.options().deadline,
             max_offers: MAX_OFFERS,
+            zone_patience: self.zone_patience(),
         };
         let mut search = SlotSearch::new(options, offers.channel.first_id());
         let mut events = VecDeque::from([SearchEvent::Start]);
@@ -101,8 +112,13 @@
             while let Some(event) = events.pop_front() {
                 for action in search.handle(clock.now(), event) {
                     match action {
-                        SearchAction::Offer { id, last_resort } => {
+                        SearchAction::Offer {
+                            id,
+                            last_resort,
+                            reach,
+                        } => {
                             let limits = OfferLimits {
+                                reach,
                                 may_canary: std::mem::take(&mut may_canary),
                                 may_force: last_resort,
                             };
@@ -149,6 +165,18 @@
         }
     }
 
+    /// Returns the wait for a slot that is preferred to a server in another zone,
+    /// as long as the target latency can be met.
+    fn zone_patience(&self) -> Duration {
+        let options = self.options();
+        let patience = self.ingress.clock.until(options.target) / ZONE_PATIENCE_DIVISOR;
+        let shortest = match options.bulk {
+            true => MIN_BULK_ZONE_PATIENCE,
+            false => MIN_ZONE_PATIENCE,
+        };
+        patience.clamp(shortest, MAX_ZONE_PATIENCE)
+    }
+
     /// Offers the request to the best server that was not asked yet. Returns
     /// false if there is none.
     fn make_offer(&mut self, offers: &mut OpenOffers, id: OfferId, limits: OfferLimits) -> bool {
@@ -166,7 +194,8 @@
             None => {
                 let options = ChoiceOptions {
                     idempotent: self.options().idempotent,
-                    bulk: self.options().bulk,
+                    reach: limits.reach,
+                    zone_penalty: self.zone_patience(),
                 };
                 let mut tried = self.asked.clone();
                 tried.extend(lock(&self.source.committed_to).iter().cloned());
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -9,17 +9,13 @@
 };
 
 use config::{PoolMembers, Service};
+use hop::SearchReach;
 use ids::{Percent, ServerId};
 use route::{Candidate, LatencyQuantile, RetryBudget, choose_server, keep_floor};
 
 pub use self::{server::ServerState, table::PoolTable};
 use crate::view::FleetView;
 
-/// Delay that a server in another zone must save to be preferred, for small
-/// answers and for large ones. Traffic between zones costs money by the byte.
-const ZONE_PENALTY: Duration = Duration::from_millis(10);
-const BULK_ZONE_PENALTY: Duration = Duration::from_millis(120);
-
 /// Backend servers of one service, and the state that its requests share.
 #[derive(Debug)]
 pub struct PoolState {
@@ -59,12 +55,11 @@
         tried: &[ServerId],
         options: ChoiceOptions,
     ) -> Option<ServerChoice> {
-        let ChoiceOptions { idempotent, bulk } = options;
-        let zone_penalty = if bulk {
-            BULK_ZONE_PENALTY
-        } else {
-            ZONE_PENALTY
-        };
+        let ChoiceOptions {
+            idempotent,
+            reach,
+            zone_penalty,
+        } = options;
         let usable = |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm);
         let states: Vec<&Arc<ServerState>> = self.servers.iter().filter(usable).collect();
         let fresh = |state: &&&Arc<ServerState>| {
@@ -76,13 +71,18 @@
         let rules = PoolRules {
             size: states.len(),
             floor: self.service.floor,
+            reach,
             zone_penalty,
         };
-        if let Some(server) = choose_among(healthy, rules) {
-            return Some(ServerChoice {
-                server,
-                forced: false,
-            });
+        match choose_among(healthy, rules) {
+            Some(server) => {
+                return Some(ServerChoice {
+                    server,
+                    forced: false,
+                });
+            }
+            None if reach == SearchReach::Zone => return None,
+            None => {}
         }
         let failing = |state: &&Arc<ServerState>| {
             !state.notice().leaving && (state.is_failing(false) || state.is_silent())
@@ -100,8 +100,11 @@
 pub struct ChoiceOptions {
     /// Whether the request may run more than once.
     pub idempotent: bool,
-    /// Whether the request is a bulk transfer, which has a large answer.
-    pub bulk: bool,
+    /// Servers that may be chosen.
+    pub reach: SearchReach,
+    /// Delay that a server in another zone must save to be preferred. Traffic
+    /// between zones costs money by the byte.
+    pub zone_penalty: Duration,
 }
 
 /// Backend server that was chosen for an attempt.
@@ -121,6 +124,8 @@
     size: usize,
     /// Share of the pool that stays in rotation.
     floor: Percent,
+    /// Servers that may be chosen.
+    reach: SearchReach,
     /// Delay that a server in another zone must save to be preferred.
     zone_penalty: Duration,
 }
@@ -133,9 +138,16 @@
     }
     let mut candidates: Vec<Candidate> = states.iter().map(|state| state.candidate()).collect();
     keep_floor(&mut candidates, rules.size, rules.floor);
+    if rules.reach == SearchReach::Zone {
+        let outside = |item: &&mut Candidate| !item.is_same_zone();
+        candidates
+            .iter_mut()
+            .filter(outside)
+            .for_each(|item| item.weight = 0.0);
+    }
     let index = choose_server(
         &candidates,
-        [rand::random(), rand::random()],
+        [rand::random(), rand::random(), rand::random()],
         rules.zone_penalty,
     )?;
     Some(Arc::clone(states[index]))
