Frames and heads between daemons leave out what the other side knows

A datagram named its receiver, which knows its own name, and carried a random number of 64 bits for the run of its sender: 50 bytes beside the message, of 65 to 170 in all. The receiver is covered by the hash in place of being sent, and 32 random bits are enough to tell runs apart. Metadata in heads was in hexadecimal and is in base64; an answer between daemons got a date of its own, which the ingress adds for callers in any case.

The version byte is 3 now, so frames of older daemons are refused with `bad version`. frame_overhead fails with the old format (50 bytes against 36). A frame for another daemon has a bad hash in place of a reason of its own; other_receiver_rejected shows it.

--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -1,5 +1,8 @@
 //! Format of datagrams between daemons: a version byte, a keyed hash, and the
 //! message encoded with `postcard`.
+//!
+//! The hash covers the receiver, which knows its own name and so needs not be
+//! named in the frame.
 
 use std::fmt;
 
@@ -12,7 +15,7 @@
 /// Maximum size of a frame in bytes; it fits one packet on usual networks.
 pub const MAX_FRAME_BYTES: usize = 1_400;
 /// Version of the frame format.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 /// Length of the keyed hash in bytes.
 const HASH_BYTES: usize = 16;
 /// Key derivation context that separates frame hashes from other uses of the
@@ -26,13 +29,11 @@
     BadLength,
     /// The frame has another format version; the older daemon needs an upgrade.
     BadVersion,
-    /// The hash does not match, so the sender does not know the fleet secret or
-    /// the frame was changed.
+    /// The hash does not match, so the sender does not know the fleet secret, the
+    /// frame was changed, or it is addressed to another daemon.
     BadHash,
     /// The frame is authentic, but its message cannot be decoded.
     BadMessage,
-    /// The frame is addressed to another daemon.
-    Misdirected,
     /// The frame was received before.
     Replayed,
 }
@@ -44,7 +45,6 @@
             Self::BadVersion => "bad version",
             Self::BadHash => "bad hash",
             Self::BadMessage => "bad message",
-            Self::Misdirected => "misdirected",
             Self::Replayed => "replayed",
         })
     }
@@ -57,11 +57,9 @@
 pub struct PeerFrame {
     /// VM of the sender.
     pub from: VmId,
-    /// VM of the receiver.
-    pub to: VmId,
     /// Incarnation of the sender: a random number that identifies one run of its
     /// process.
-    pub incarnation: u64,
+    pub incarnation: u32,
     /// Sequence number of the frame within the incarnation of the sender.
     pub number: u64,
     /// Content of the frame.
@@ -88,16 +86,16 @@
         }
     }
 
-    /// Encodes a frame and adds its keyed hash.
+    /// Encodes a frame for the daemon of a VM and adds its keyed hash.
     ///
     /// # Errors
     ///
     /// Returns [`FrameError::BadLength`] if the frame does not fit a datagram.
-    pub fn seal(&self, frame: &PeerFrame) -> Result<Vec<u8>, FrameError> {
+    pub fn seal(&self, frame: &PeerFrame, to: &VmId) -> Result<Vec<u8>, FrameError> {
         let body = postcard::to_stdvec(frame).map_err(|_| FrameError::BadMessage)?;
         let mut bytes = Vec::with_capacity(1 + HASH_BYTES + body.len());
         bytes.push(VERSION);
-        bytes.extend_from_slice(&self.hash(&body));
+        bytes.extend_from_slice(&self.hash(&body, to));
         bytes.extend_from_slice(&body);
         match bytes.len() {
             length if length > MAX_FRAME_BYTES => Err(FrameError::BadLength),
@@ -105,13 +103,13 @@
         }
     }
 
-    /// Verifies and decodes a received frame.
+    /// Verifies and decodes a frame that the daemon of a VM has received.
     ///
     /// # Errors
     ///
     /// Returns a [`FrameError`] if the frame is not valid. The caller must only
     /// count it and drop the frame.
-    pub fn open(&self, bytes: &[u8]) -> Result<PeerFrame, FrameError> {
+    pub fn open(&self, bytes: &[u8], own: &VmId) -> Result<PeerFrame, FrameError> {
         if bytes.len() <= 1 + HASH_BYTES || bytes.len() > MAX_FRAME_BYTES {
             return Err(FrameError::BadLength);
         }
@@ -121,16 +119,22 @@
             VERSION => {}
             _ => return Err(FrameError::BadVersion),
         }
-        match bool::from(self.hash(body).ct_eq(hash)) {
+        match bool::from(self.hash(body, own).ct_eq(hash)) {
             true => postcard::from_bytes(body).map_err(|_| FrameError::BadMessage),
             false => Err(FrameError::BadHash),
         }
     }
 
-    /// Returns the keyed hash of a body, truncated to its length on the wire.
-    fn hash(&self, body: &[u8]) -> [u8; HASH_BYTES] {
+    /// Returns the keyed hash of a body and its receiver, truncated to its length
+    /// on the wire.
+    fn hash(&self, body: &[u8], to: &VmId) -> [u8; HASH_BYTES] {
+        let mut hasher = blake3::Hasher::new_keyed(&self.key);
+        hasher.update(body);
+        // The length separates the two, so that no other pair has the same input.
+        hasher.update(to.as_str().as_bytes());
+        hasher.update(&(body.len() as u32).to_le_bytes());
         let mut hash = [0; HASH_BYTES];
-        hash.copy_from_slice(&blake3::keyed_hash(&self.key, body).as_bytes()[..HASH_BYTES]);
+        hash.copy_from_slice(&hasher.finalize().as_bytes()[..HASH_BYTES]);
         hash
     }
 }
--- a/crates/mesh/src/replay.rs
+++ b/crates/mesh/src/replay.rs
@@ -10,7 +10,7 @@
 /// Sliding window over the sequence numbers of one sender.
 #[derive(Clone, Copy, Debug)]
 struct ReplayWindow {
-    incarnation: u64,
+    incarnation: u32,
     highest: u64,
     /// Bitmap of the received frames; bit `n` stands for frame `highest - n`.
     seen: u64,
@@ -28,12 +28,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReplayGuard {
     senders: FastMap<VmId, ReplayWindow>,
-    earlier: FastMap<VmId, VecDeque<u64>>,
+    earlier: FastMap<VmId, VecDeque<u32>>,
 }
 
 impl ReplayGuard {
     /// Records a frame and returns whether it is new.
-    pub fn accept(&mut self, from: &VmId, incarnation: u64, number: u64) -> bool {
+    pub fn accept(&mut self, from: &VmId, incarnation: u32, number: u64) -> bool {
         let Some(window) = self.senders.get_mut(from) else {
             let window = ReplayWindow {
                 incarnation,
--- a/crates/mesh/tests/frame_contract.rs
+++ b/crates/mesh/tests/frame_contract.rs
@@ -17,7 +17,6 @@
 fn frame(message: PeerMessage) -> PeerFrame {
     PeerFrame {
         from: vm("vm-1"),
-        to: vm("vm-2"),
         incarnation: 1,
         number: 7,
         message,
@@ -58,8 +57,8 @@
 #[test_case(evidence())]
 fn round_trip(message: PeerMessage) {
     let seal = FrameSeal::new(b"a secret for tests");
-    let bytes = seal.seal(&frame(message.clone())).unwrap();
-    assert_eq!(seal.open(&bytes), Ok(frame(message)));
+    let bytes = seal.seal(&frame(message.clone()), &vm("vm-2")).unwrap();
+    assert_eq!(seal.open(&bytes, &vm("vm-2")), Ok(frame(message)));
 }
 
 #[test_case(|bytes: &mut Vec<u8>| bytes.clear(), FrameError::BadLength; "empty")]
@@ -72,22 +71,45 @@
 #[test_case(|bytes: &mut Vec<u8>| bytes.push(0), FrameError::BadHash; "trailing byte")]
 fn damage_rejected(damage: fn(&mut Vec<u8>), expected: FrameError) {
     let seal = FrameSeal::new(b"a secret for tests");
-    let mut bytes = seal.seal(&frame(ask())).unwrap();
+    let mut bytes = seal.seal(&frame(ask()), &vm("vm-2")).unwrap();
     damage(&mut bytes);
-    assert_eq!(seal.open(&bytes), Err(expected));
+    assert_eq!(seal.open(&bytes, &vm("vm-2")), Err(expected));
 }
 
 #[test]
 fn other_secret_rejected() {
     let bytes = FrameSeal::new(b"another secret here")
-        .seal(&frame(ask()))
+        .seal(&frame(ask()), &vm("vm-2"))
         .unwrap();
     assert_eq!(
-        FrameSeal::new(b"a secret for tests").open(&bytes),
+        FrameSeal::new(b"a secret for tests").open(&bytes, &vm("vm-2")),
         Err(FrameError::BadHash)
     );
 }
 
+#[test]
+fn other_receiver_rejected() {
+    let seal = FrameSeal::new(b"a secret for tests");
+    let bytes = seal.seal(&frame(ask()), &vm("vm-2")).unwrap();
+    assert_eq!(seal.open(&bytes, &vm("vm-3")), Err(FrameError::BadHash));
+}
+
+// Guards against frames that name what their receiver knows: they are most of the
+// bytes between zones on a calm day.
+#[test]
+fn frame_overhead() {
+    let seal = FrameSeal::new(b"a secret for tests");
+    let frame = PeerFrame {
+        from: vm("10.1.0.26"),
+        incarnation: u32::MAX,
+        number: 10_000,
+        message: ask(),
+    };
+    let bytes = seal.seal(&frame, &vm("10.1.0.27")).unwrap();
+    let message = postcard::to_stdvec(&ask()).unwrap();
+    assert!(bytes.len() <= message.len() + 36, "{}", bytes.len());
+}
+
 #[test]
 fn replay_dropped() {
     let mut guard = ReplayGuard::default();
@@ -122,6 +144,6 @@
     #[test]
     fn garbage_is_rejected(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let seal = FrameSeal::new(b"a secret for tests");
-        prop_assert!(seal.open(&bytes).is_err());
+        prop_assert!(seal.open(&bytes, &vm("vm-2")).is_err());
     }
 }
--- a/crates/mesh/tests/zone_traffic.rs
+++ b/crates/mesh/tests/zone_traffic.rs
@@ -90,12 +90,11 @@
 fn frame_bytes(seal: &FrameSeal, from: &VmId, to: &VmId, message: PeerMessage) -> usize {
     let frame = PeerFrame {
         from: from.clone(),
-        to: to.clone(),
         incarnation: 0x8000_0000,
         number: 1_000,
         message,
     };
-    seal.seal(&frame).unwrap().len()
+    seal.seal(&frame, to).unwrap().len()
 }
 
 // Guards against gossip between zones that grows with the VMs of a zone: each
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -127,7 +127,7 @@
         let mut gossip = GossipNode::new(vm.clone(), parts.view.zone.clone(), now, rand::random());
         gossip.set_readers_per_zone(parts.settings.load().policy.readers_per_zone);
         Self {
-            limits: LimitNode::new(vm, now, rand::random()),
+            limits: LimitNode::new(vm, now, u64::from(rand::random::<u32>())),
             gossip,
             detectors,
             pending_takes: FastMap::default(),
--- a/crates/serve/src/control/peers.rs
+++ b/crates/serve/src/control/peers.rs
@@ -26,7 +26,7 @@
     view: Arc<FleetView>,
     metrics: Arc<MetricSet>,
     /// Random number that identifies this incarnation of the daemon.
-    incarnation: u64,
+    incarnation: u32,
     /// Sequence number of the latest frame.
     last_number: AtomicU64,
     /// Source addresses of peers that the configuration does not list. A daemon
@@ -83,12 +83,11 @@
         let kind = SentKind::of(&message);
         let frame = PeerFrame {
             from: self.view.vm.clone(),
-            to: to.clone(),
             incarnation: self.incarnation,
             number: self.last_number.fetch_add(1, Ordering::Relaxed) + 1,
             message,
         };
-        if let Ok(bytes) = self.seal.seal(&frame) {
+        if let Ok(bytes) = self.seal.seal(&frame, to) {
             let counter = self.metrics.ledger.counter(kind, self.view.distance(to));
             counter.inc_by(bytes.len() as u64);
             let _ = self.socket.try_send_to(&bytes, address);
@@ -169,10 +168,10 @@
     /// Decodes and verifies the datagram in the first `length` bytes of the
     /// buffer.
     fn open(&mut self, length: usize) -> Result<PeerFrame, FrameError> {
-        let frame = self.sender.seal.open(&self.buffer[..length])?;
-        if frame.to != self.sender.view.vm {
-            return Err(FrameError::Misdirected);
-        }
+        let frame = self
+            .sender
+            .seal
+            .open(&self.buffer[..length], &self.sender.view.vm)?;
         match self
             .guard
             .accept(&frame.from, frame.incarnation, frame.number)
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -144,12 +144,15 @@
             connections: budgets.connections,
             head_bytes: budgets.head_bytes,
             head_timeout: budgets.head_timeout(),
+            adds_date: true,
         };
         let peer_limits = ListenerLimits {
             connections: MAX_PEER_CONNECTIONS,
             // The head of an attempt holds metadata beside the caller's head.
             head_bytes: budgets.head_bytes + 8_192,
             head_timeout: PEER_IDLE_TIMEOUT,
+            // The ingress adds the date if the backend server gave none.
+            adds_date: false,
         };
         let admin_limits = ListenerLimits {
             connections: MAX_ADMIN_CONNECTIONS,
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -32,6 +32,8 @@
     /// Maximum time until the head of a request is complete, which is also the
     /// maximum time that a connection may be idle.
     pub head_timeout: Duration,
+    /// Whether answers without a date get one.
+    pub adds_date: bool,
 }
 
 /// A listener that is bound to an address and does not accept connections yet.
@@ -132,6 +134,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
+        .auto_date_header(limits.adds_date)
         .max_buf_size(limits.head_bytes.max(8_192))
         .serve_connection(
             TokioIo::new(MeteredStream::new(stream, Arc::clone(&meter))),
--- a/crates/serve/src/wire.rs
+++ b/crates/serve/src/wire.rs
@@ -1,13 +1,14 @@
 //! Headers that callers, daemons and backend servers exchange.
 //!
 //! The metadata of an attempt is one header, which consists of a keyed hash and
-//! a value encoded by `postcard`, both as hexadecimal digits. The hash is
-//! checked before the value is decoded.
+//! a value encoded by `postcard`, both as base64. The hash is checked before the
+//! value is decoded.
 
 use std::{fmt, time::Duration};
 
 pub use hop::NotRun;
 
+use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD as BASE64};
 use hop::{OfferId, ServerLoad};
 use hyper::{HeaderMap, header::HeaderName, header::HeaderValue};
 use ids::{AccountId, ServerId, ServiceId, VmId};
@@ -125,10 +126,10 @@
     pub fn seal<T: Serialize>(&self, value: &T) -> HeaderValue {
         let bytes = postcard::to_stdvec(value).expect("postcard can encode every header value");
         let hash = blake3::keyed_hash(&self.key, &bytes);
-        let mut text = Vec::with_capacity(2 * (SEAL_BYTES + bytes.len()));
-        encode_hex(&mut text, &hash.as_bytes()[..SEAL_BYTES]);
-        encode_hex(&mut text, &bytes);
-        HeaderValue::from_bytes(&text).expect("hexadecimal digits are valid in a header value")
+        let mut sealed = Vec::with_capacity(SEAL_BYTES + bytes.len());
+        sealed.extend_from_slice(&hash.as_bytes()[..SEAL_BYTES]);
+        sealed.extend_from_slice(&bytes);
+        HeaderValue::from_str(&BASE64.encode(&sealed)).expect("base64 is valid in a header value")
     }
 
     /// Returns the value of a sealed header; `None` if the header is too long,
@@ -136,7 +137,7 @@
     pub fn open<T: DeserializeOwned>(&self, header: &HeaderValue) -> Option<T> {
         let bytes = match header.as_bytes() {
             text if text.len() > MAX_HEADER_BYTES => return None,
-            text => decode_hex(text)?,
+            text => BASE64.decode(text).ok()?,
         };
         let (seal, value) = bytes.split_at_checked(SEAL_BYTES)?;
         let hash = blake3::keyed_hash(&self.key, value);
@@ -147,29 +148,6 @@
     }
 }
 
-/// Appends bytes to a text as hexadecimal digits.
-fn encode_hex(text: &mut Vec<u8>, bytes: &[u8]) {
-    const DIGITS: &[u8; 16] = b"0123456789abcdef";
-    for byte in bytes {
-        text.push(DIGITS[usize::from(byte >> 4)]);
-        text.push(DIGITS[usize::from(byte & 15)]);
-    }
-}
-
-/// Decodes hexadecimal digits to bytes; `None` if there is another character or
-/// an odd number of digits.
-fn decode_hex(text: &[u8]) -> Option<Vec<u8>> {
-    let digit = |byte: u8| char::from(byte).to_digit(16).map(|value| value as u8);
-    let (pairs, rest) = text.as_chunks::<2>();
-    let bytes = pairs
-        .iter()
-        .map(|[high, low]| Some(digit(*high)? << 4 | digit(*low)?));
-    match rest {
-        [] => bytes.collect(),
-        _ => None,
-    }
-}
-
 /// Returns the hash that binds metadata to the method and target of a request.
 pub fn target_hash(method: &str, target: &str) -> u64 {
     ids::stable_pair_hash(ids::stable_hash(method.as_bytes()), target)
