Members of a cell are in one zone where it has enough VMs

A zone of four VMs shares a group with the next one, and its VMs were members of the same cells. If one zone of a group has five VMs or more, they are its members now.

--- a/crates/limit/src/cell.rs
+++ b/crates/limit/src/cell.rs
@@ -61,7 +61,8 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 struct Group {
     zones: Vec<ZoneId>,
-    /// Live members of each cell, sorted.
+    /// Live members of each cell, sorted. They are in one zone if it has enough
+    /// VMs.
     cells: Vec<Vec<VmId>>,
 }
 
@@ -83,7 +84,8 @@
             let of_group = members.iter().filter(|member| zones.contains(&member.zone));
             let of_group: Vec<&CellMember> = of_group.collect();
             let count = cell_count(of_group.len());
-            let cells = (0..count).map(|cell| pick_members(cell, &of_group));
+            let eligible = main_zone(&zones, &of_group);
+            let cells = (0..count).map(|cell| pick_members(cell, &eligible));
             Group {
                 cells: cells.collect(),
                 zones,
@@ -239,6 +241,21 @@
     }
 }
 
+/// Returns the VMs of the largest zone of a group if it could be a group on its
+/// own, and otherwise all VMs. Members lend shares to each other all the time, and
+/// traffic between zones costs money.
+fn main_zone<'a>(zones: &[ZoneId], vms: &[&'a CellMember]) -> Vec<&'a CellMember> {
+    let of_zone = |zone: &ZoneId| vms.iter().filter(|member| member.zone == *zone).count();
+    let largest = zones.iter().max_by_key(|zone| of_zone(zone));
+    match largest {
+        Some(zone) if of_zone(zone) >= MIN_GROUP_VMS => {
+            let members = vms.iter().filter(|member| member.zone == *zone);
+            members.copied().collect()
+        }
+        _ => vms.to_vec(),
+    }
+}
+
 /// Picks the live members of a cell: the VMs with the highest rendezvous
 /// scores, one of each rack in turn.
 ///
