Offers without a reply back off

The time doubles up to 200 ms now, and the first repetition comes as soon as before.

silent_daemon_costs_few_messages failed before.

--- a/crates/hop/src/search.rs
+++ b/crates/hop/src/search.rs
@@ -16,8 +16,11 @@
 
 use crate::{EgressIncarnation, NotRun, OfferId, OfferReply};
 
-/// Time without a reply after which an offer is sent again.
+/// Time without a reply after which an offer is sent again for the first time. The
+/// time doubles with each repetition, up to the maximum, so that little is sent
+/// into a partition.
 const REPEAT_AFTER: Duration = Duration::from_millis(25);
+const MAX_REPEAT_AFTER: Duration = Duration::from_millis(200);
 /// Time without a reply after which a daemon counts as silent and another
 /// server is asked as well.
 const SILENT_AFTER: Duration = Duration::from_millis(40);
@@ -104,6 +107,8 @@
     made_at: MonoTime,
     sent_at: MonoTime,
     replied_at: Option<MonoTime>,
+    /// Number of repetitions since the offer was made or last replied to.
+    repeats: u32,
     /// Wait for a slot that the egress last reported, in microseconds.
     delay_us: u64,
     reach: SearchReach,
@@ -119,7 +124,10 @@
     fn repeat_at(&self) -> MonoTime {
         match self.replied_at {
             Some(_) => self.sent_at + self.heartbeat_interval(),
-            None => self.sent_at + REPEAT_AFTER,
+            None => {
+                let interval = REPEAT_AFTER * 2_u32.saturating_pow(self.repeats);
+                self.sent_at + interval.min(MAX_REPEAT_AFTER)
+            }
         }
     }
 
@@ -238,6 +246,7 @@
             OfferReply::Waiting(load) => {
                 self.open[index].delay_us = load.delay_us;
                 self.open[index].replied_at = Some(now);
+                self.open[index].repeats = 0;
                 self.open[index].silent = false;
             }
             OfferReply::Granted(incarnation) => {
@@ -282,6 +291,7 @@
             .filter(|offer| offer.repeat_at() <= now)
         {
             offer.sent_at = now;
+            offer.repeats += 1;
             actions.push(SearchAction::Repeat(offer.id));
         }
         let due = |offer: &OpenOffer| !offer.tied && self.tie_at(offer) <= now;
@@ -384,6 +394,7 @@
             made_at: now,
             sent_at: now,
             replied_at: None,
+            repeats: 0,
             delay_us: 0,
             reach,
             tied: false,
--- a/crates/hop/tests/slot_search.rs
+++ b/crates/hop/tests/slot_search.rs
@@ -346,3 +346,27 @@
     let expected = [SearchAction::RecordSilent(OfferId(0)), offer(1)];
     assert_eq!(actions, expected);
 }
+
+// Guards against a flood of offers into a partition: an offer without a reply was
+// sent again every 25 ms.
+#[test]
+fn silent_daemon_costs_few_messages() {
+    let mut search = search();
+    let mut repeats = Vec::new();
+    let mut now = at(0);
+    let mut given_up = false;
+    while !given_up {
+        now = search.next_tick();
+        for action in search.handle(now, SearchEvent::Tick) {
+            match action {
+                SearchAction::Repeat(OfferId(0)) => repeats.push(now),
+                SearchAction::Withdraw(OfferId(0)) => given_up = true,
+                _ => {}
+            }
+        }
+    }
+    assert!(repeats.len() <= 6, "{repeats:?}");
+    // A lost datagram is made up for as soon as before.
+    assert!(repeats[0] <= at(26), "{repeats:?}");
+    assert!(now <= at(800), "{now}");
+}
