A connection that was just accepted is answered in a planned stop

Reported by other operators: in a planned stop under load, requests that had just been accepted were cut off without an answer. Shown here: a caller that had connected, and sent its request 20 ms after the listener closed, got nothing. The connection had no request yet and counted as idle, and connections in the backlog were reset.

--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -1,12 +1,23 @@
 //! Accepts HTTP connections and shuts them down gracefully.
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
+use futures::FutureExt;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{Notify, Semaphore},
 };
 
 use crate::{
@@ -20,6 +31,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
+/// Time after `stop` in which a connection may still send its first request. Its
+/// caller can't know that the listener is stopping.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug)]
@@ -98,6 +112,16 @@
                 () = stop.stopped() => break,
             }
         }
+        // Connections that wait to be accepted would be reset with the listener.
+        while let Some((stream, permit)) = accept(&self.listener, &permits).now_or_never().flatten()
+        {
+            let handler = handler.clone();
+            let (limits, stopping) = (self.limits, stop.clone());
+            group.spawn(async move {
+                serve_connection(stream, handler, limits, stopping).await;
+                drop(permit);
+            });
+        }
         drop(self.listener);
         group.join().await;
     }
@@ -115,7 +139,7 @@
 }
 
 /// Serves a connection until it ends. After `stop` is signaled, it answers only
-/// the request that it has already received.
+/// the request that it has already received, or its first one if that comes soon.
 async fn serve_connection<H, F>(
     stream: TcpStream,
     handler: H,
@@ -126,7 +150,11 @@
     F: Future<Output = Response<ProxyBody>>,
 {
     let meter = Arc::new(StreamMeter::default());
+    let first_request = Notify::new();
+    let requested = AtomicBool::new(false);
     let service = service_fn(|mut request: Request<Incoming>| {
+        requested.store(true, Ordering::Relaxed);
+        first_request.notify_one();
         request.extensions_mut().insert(Arc::clone(&meter));
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -143,7 +171,15 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = stop.stopped() => connection.as_mut().graceful_shutdown(),
+        () = stop.stopped() => {}
+    }
+    if !requested.load(Ordering::Relaxed) {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = first_request.notified() => {}
+            () = tokio::time::sleep(FIRST_REQUEST_TIME) => {}
+        }
     }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
