A request that can't end before the end of a planned stop is refused

Reported by other operators: requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them such as may not be repeated. Shown here: a POST that got its slot 0.7 s before the end and runs for 1 s was cut. Waiting requests were refused 0.5 s before the end, however long they run.

They are refused once less is left than the 95% latency of their service, half of the grace at the most. Of the first 20 samples the largest is taken for that; the estimate crept up from the first sample by 5% each before. The linger was not bound by the grace: with 10 s of linger and 3 s of grace the process would have been killed with requests in it. Half of the grace is the most now.

--- a/crates/route/src/quantile.rs
+++ b/crates/route/src/quantile.rs
@@ -14,8 +14,9 @@
 ///
 /// A sample above the estimate raises it by `STEP * q` of its value, and one
 /// below lowers it by `STEP * (1 - q)`. So the estimate settles where a share `q`
-/// of the samples lies below it. A concurrent update may be lost, which only
-/// delays the estimate by one step.
+/// of the samples lies below it. The first samples are too few for a quantile, and
+/// their largest is taken. A concurrent update may be lost, which only delays the
+/// estimate by one step.
 #[derive(Debug)]
 pub struct LatencyQuantile {
     quantile: f64,
@@ -37,8 +38,9 @@
     pub fn record(&self, latency: Duration) {
         let sample = latency.as_nanos() as f64;
         let current = self.nanos.load(Ordering::Relaxed) as f64;
+        let is_early = self.samples.load(Ordering::Relaxed) < MIN_SAMPLES;
         let next = match current {
-            0.0 => sample,
+            current if is_early => current.max(sample),
             current if sample > current => current * (1.0 + STEP * self.quantile),
             current => current * (1.0 - STEP * (1.0 - self.quantile)),
         };
@@ -46,6 +48,14 @@
         self.samples.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Returns the estimate from however few samples, or `None` without any.
+    pub fn rough(&self) -> Option<Duration> {
+        match self.nanos.load(Ordering::Relaxed) {
+            0 => None,
+            nanos => Some(Duration::from_nanos(nanos)),
+        }
+    }
+
     /// Returns the estimate, or `None` before there are enough samples.
     pub fn get(&self) -> Option<Duration> {
         match self.samples.load(Ordering::Relaxed) {
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -18,6 +18,9 @@
 
 /// Maximum number of servers that one search asks.
 const MAX_OFFERS: usize = 10;
+/// Least time before the end of a shutdown after which no slot is used, so that
+/// what still waits for one is refused.
+const MIN_SLOT_RESERVE: Duration = Duration::from_millis(500);
 /// Ratio of the time left until the target latency to the wait that is preferred
 /// to a server in another zone.
 const ZONE_PATIENCE_DIVISOR: u32 = 8;
@@ -108,6 +111,7 @@
         let mut search = SlotSearch::new(options, offers.channel.first_id());
         let mut events = VecDeque::from([SearchEvent::Start]);
         let mut may_canary = may_canary;
+        let run_time = self.run_time();
         loop {
             while let Some(event) = events.pop_front() {
                 for action in search.handle(clock.now(), event) {
@@ -148,9 +152,11 @@
                 }
             }
             let tick = clock.instant(search.next_tick());
-            let stopped = self.ingress.view.search_deadline_passed();
+            let stopped = self.ingress.view.too_late_for(run_time);
             tokio::select! {
                 biased;
+                // Dropping the search withdraws its open offers.
+                () = stopped => return Err(Some(NotRun::Leaving)),
                 Some((id, reply)) = offers.channel.replies.recv() => {
                     self.record_reply(id, &reply);
                     if let OfferReply::Refused(..) = reply {
@@ -159,8 +165,6 @@
                     events.push_back(SearchEvent::Reply(id, reply));
                 }
                 () = tokio::time::sleep_until(tick) => events.push_back(SearchEvent::Tick),
-                // Dropping the search withdraws its open offers.
-                () = stopped => return Err(Some(NotRun::Leaving)),
             }
         }
     }
@@ -177,6 +181,15 @@
         patience.clamp(shortest, MAX_ZONE_PATIENCE)
     }
 
+    /// Returns the time that the request is likely to run at most.
+    fn run_time(&self) -> Duration {
+        let options = self.options();
+        let target = options.target.since(options.started);
+        let expected = self.pool.hedge_after.rough().unwrap_or(target);
+        let grace = self.ingress.settings.load().budgets.grace();
+        expected.clamp(MIN_SLOT_RESERVE.min(grace / 4), grace / 2)
+    }
+
     /// Offers the request to the best server that was not asked yet. Returns
     /// false if there is none.
     fn make_offer(&mut self, offers: &mut OpenOffers, id: OfferId, limits: OfferLimits) -> bool {
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -50,8 +50,6 @@
 /// Time in which peers learn that this daemon is leaving, before it closes its
 /// peer address.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
-/// Part of the grace period reserved for refusing requests that found no slot.
-const SEARCH_RESERVE: Duration = Duration::from_millis(500);
 /// Part of the grace period reserved for ending the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
@@ -347,9 +345,9 @@
         let grace = settings.budgets.grace();
         let end = Instant::now() + grace.saturating_sub(EXIT_RESERVE);
         self.view.set_leaving(true);
-        self.view
-            .set_search_deadline(end - SEARCH_RESERVE.min(grace / 4));
-        tokio::time::sleep(settings.policy.linger()).await;
+        self.view.set_stop_end(end);
+        // What is taken at the end of the linger time needs time to finish.
+        tokio::time::sleep(settings.policy.linger().min(grace / 2)).await;
         self.egress.set_draining(true);
         self.stops[0].stop();
         let drained = timeout_at(end, async {
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -1,9 +1,12 @@
 //! The daemon's view of the fleet: the configuration and VM list in force, and
 //! the daemon's own state.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
@@ -25,9 +28,9 @@
     /// scanning a list of thousands of entries would cost more than the request.
     live: ArcSwap<FastSet<VmId>>,
     leaving: AtomicBool,
-    /// Time until which requests of callers may wait for a slot; set when this
-    /// daemon shuts down.
-    search_deadline: watch::Sender<Option<Instant>>,
+    /// Time at which the remaining requests are aborted; set when this daemon shuts
+    /// down.
+    stop_end: watch::Sender<Option<Instant>>,
     isolated: AtomicBool,
 }
 
@@ -41,7 +44,7 @@
             vms: ArcSwap::default(),
             live: ArcSwap::default(),
             leaving: AtomicBool::new(false),
-            search_deadline: watch::Sender::new(None),
+            stop_end: watch::Sender::new(None),
             isolated: AtomicBool::new(false),
         }
     }
@@ -97,21 +100,24 @@
         self.leaving.store(leaving, Ordering::Release);
     }
 
-    /// Sets the time until which requests of callers may wait for a slot.
-    pub fn set_search_deadline(&self, deadline: Instant) {
-        self.search_deadline.send_replace(Some(deadline));
+    /// Sets the time at which the remaining requests are aborted.
+    pub fn set_stop_end(&self, end: Instant) {
+        self.stop_end.send_replace(Some(end));
     }
 
-    /// Waits until requests that still wait for a slot have to be refused. This
-    /// daemon ends soon after that, and a refusal tells the caller more than a
-    /// closed connection.
-    pub async fn search_deadline_passed(&self) {
-        let mut deadlines = self.search_deadline.subscribe();
+    /// Waits until less than `run_time` is left before this daemon aborts the
+    /// remaining requests. A request that gets a slot later would be cut off, and
+    /// a refusal tells the caller more than a closed connection.
+    pub async fn too_late_for(&self, run_time: Duration) {
+        let mut ends = self.stop_end.subscribe();
         loop {
-            let deadline = *deadlines.borrow_and_update();
-            match deadline {
-                Some(deadline) => return tokio::time::sleep_until(deadline).await,
-                None if deadlines.changed().await.is_err() => std::future::pending().await,
+            let end = *ends.borrow_and_update();
+            match end {
+                Some(end) => {
+                    let latest = end.checked_sub(run_time).unwrap_or_else(Instant::now);
+                    return tokio::time::sleep_until(latest).await;
+                }
+                None if ends.changed().await.is_err() => std::future::pending().await,
                 None => {}
             }
         }
