--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
@@ -22,10 +22,12 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// State shared between the task of the relay and its owner.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     target: OnceLock<SocketAddr>,
     cut: AtomicBool,
+    /// Number of bytes that the target can send on a new connection.
+    answer_limit: AtomicU64,
 }
 
 /// Relays TCP connections and UDP datagrams from one port to a target.
@@ -55,7 +57,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let socket = UdpSocket::bind(address).await?;
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared {
+            target: OnceLock::new(),
+            cut: AtomicBool::new(false),
+            answer_limit: AtomicU64::new(u64::MAX),
+        });
         let (cuts, cut_changes) = watch::channel(0);
         let (pause, paused) = watch::channel(false);
         let (silences, silenced) = watch::channel(0);
@@ -103,6 +109,14 @@
         self.silences.send_modify(|count| *count += 1);
     }
 
+    /// Closes all connections, and ends each new one after the target has sent this
+    /// many bytes on it. `None` sets no limit.
+    pub fn limit_answers(&self, bytes: Option<u64>) {
+        let limit = bytes.unwrap_or(u64::MAX);
+        self.shared.answer_limit.store(limit, Ordering::SeqCst);
+        self.set_cut(false);
+    }
+
     /// Stops the relay, closes its connections and waits until it has ended.
     pub async fn stop(self) {
         self.task.abort();
@@ -161,7 +175,8 @@
     let (from_caller, to_caller) = stream.into_split();
     let (from_target, to_target) = out.into_split();
     let forth = copy_stream(from_caller, to_target, signals.clone());
-    let back = copy_stream(from_target, to_caller, signals.clone());
+    let limit = shared.answer_limit.load(Ordering::SeqCst);
+    let back = copy_stream(from_target.take(limit), to_caller, signals.clone());
     let both = async { tokio::join!(forth, back) };
     tokio::pin!(both);
     tokio::select! {
--- a/tests/hop_faults.rs
+++ b/tests/hop_faults.rs
@@ -9,7 +9,7 @@
 use config::Record;
 use fakes::{Behaviour, DropRelay};
 use harness::{Answer, Fleet, FleetShape};
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use test_case::test_case;
 
 /// Deadline of the service, in milliseconds. It is long enough for a hop that
@@ -166,3 +166,45 @@
     fleet.stop().await;
     relay.stop().await;
 }
+
+// Guards against an answer between daemons that breaks off and reaches the caller as
+// complete, at every byte.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answer_is_no_success() {
+    let (fleet, relay) = relayed_fleet().await;
+    let mut length = 0;
+    let mut reached = 0;
+    loop {
+        relay.limit_answers(Some(length));
+        let id = format!("cut{length}");
+        let request = fleet.request(1, Method::POST, "/plans/book").run_id(&id);
+        let answer = fleet.send(request).await;
+        let runs = fleet.runs(&id);
+        assert!(runs <= 1, "{length}: {answer:?}");
+        reached += runs;
+        match &answer {
+            // All of the answer fitted the limit.
+            Ok(answer) if answer.status == StatusCode::OK => {
+                assert_eq!(answer.body, "break plan", "{length}");
+                break;
+            }
+            Ok(answer) if answer.outcome() == "not-run" => assert_eq!(runs, 0, "{answer:?}"),
+            Ok(answer) => assert_eq!(answer.outcome(), "unknown", "{length}: {answer:?}"),
+            // The body broke off, and the connection was closed to show it.
+            Err(_) => {}
+        }
+        length += 1;
+        assert!(length < 2_000, "no answer was complete");
+        // A good answer shows that the path is sound.
+        relay.limit_answers(None);
+        fleet
+            .wait_for_answer(1, "/plans/today", StatusCode::OK)
+            .await;
+    }
+    assert!(
+        reached * 10 >= length * 9,
+        "{reached} of {length} requests ran"
+    );
+    fleet.stop().await;
+    relay.stop().await;
+}
