One panic takes only what panicked with it

Reported by other operators: one malformed message or unexpected error took a whole process down.

The watch and the probes are started anew, each input of the control loop is handled by itself, and panics of tasks are logged and counted.

--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -11,7 +11,12 @@
 mod peers;
 mod pull;
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::VecDeque,
+    panic::{AssertUnwindSafe, catch_unwind},
+    sync::Arc,
+    time::Duration,
+};
 
 use config::{ConfigTable, Delta};
 use health::Event as HealthEvent;
@@ -155,15 +160,26 @@
                 () = stop.stopped() => break,
                 () = tokio::time::sleep_until(ticked_at + interval) => {
                     ticked_at = tokio::time::Instant::now();
-                    self.tick();
+                    self.contain(Self::tick);
+                }
+                Some(event) = events.recv() => self.contain(|this| this.handle_event(event)),
+                (from, message) = self.parts.socket.receive() => {
+                    self.contain(|this| this.handle_message(from, message));
                 }
-                Some(event) = events.recv() => self.handle_event(event),
-                (from, message) = self.parts.socket.receive() => self.handle_message(from, message),
             }
         }
         self.tasks.abort().await;
     }
 
+    /// Handles one input. A panic ends only that, since requests and peers need a
+    /// control loop: its state machines check what they are told in any case.
+    fn contain(&mut self, handle: impl FnOnce(&mut Self)) {
+        if catch_unwind(AssertUnwindSafe(|| handle(self))).is_err() {
+            self.parts.metrics.contained_panics.inc();
+            log::error!("control: the handling of an input panicked; the input is lost.");
+        }
+    }
+
     /// Returns the current time.
     fn now(&self) -> MonoTime {
         self.parts.clock.now()
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -300,8 +300,12 @@
         ));
         let control = ControlLoop::new(control, is_reader);
         groups[2].spawn(control.run(events, stops[2].signal()));
-        groups[2].spawn(watcher.run(stops[2].signal()));
-        groups[2].spawn(probe_all(Arc::clone(&egress), stops[2].signal()));
+        let stop = stops[2].signal();
+        groups[2].spawn_supervised("platform", move || watcher.clone().run(stop.clone()));
+        let (probed, stop) = (Arc::clone(&egress), stops[2].signal());
+        groups[2].spawn_supervised("probe", move || {
+            probe_all(Arc::clone(&probed), stop.clone())
+        });
         Daemon {
             addresses: self.addresses,
             view,
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -62,6 +62,8 @@
     pub fallback_reads: Counter,
     /// Number of refused configurations.
     pub config_refused: Counter,
+    /// Number of inputs of the control loop whose handling panicked.
+    pub contained_panics: Counter,
     /// Number of peer messages received, valid and invalid.
     pub peer_messages: Family<OutcomeLabel, Counter>,
     /// Bytes sent to other daemons, by kind and distance.
@@ -93,6 +95,7 @@
             platform_calls: Counter::default(),
             fallback_reads: Counter::default(),
             config_refused: Counter::default(),
+            contained_panics: Counter::default(),
             peer_messages: Family::default(),
             ledger: ByteLedger::default(),
             connections: Gauge::default(),
@@ -164,6 +167,11 @@
             "Configurations refused",
             self.config_refused.clone(),
         );
+        registry.register(
+            "contained_panics",
+            "Inputs of the control loop whose handling panicked",
+            self.contained_panics.clone(),
+        );
         registry.register(
             "peer_messages",
             "Peer messages received",
--- a/crates/serve/src/task.rs
+++ b/crates/serve/src/task.rs
@@ -2,10 +2,19 @@
 
 use std::{
     future::Future,
+    panic::AssertUnwindSafe,
     sync::{Mutex, MutexGuard},
+    time::Duration,
 };
 
-use tokio::{sync::watch, task::JoinSet};
+use futures::FutureExt;
+use tokio::{
+    sync::watch,
+    task::{JoinError, JoinSet},
+};
+
+/// Pause before a task that has panicked is started anew.
+const RESTART_PAUSE: Duration = Duration::from_millis(100);
 
 /// Set of tasks that are aborted when the set is dropped.
 ///
@@ -28,10 +37,27 @@
         F: Future<Output = ()> + Send + 'static,
     {
         let mut tasks = self.lock();
-        while tasks.try_join_next().is_some() {}
+        while let Some(ended) = tasks.try_join_next() {
+            log_panic(ended);
+        }
         tasks.spawn(task);
     }
 
+    /// Starts a task in the group, and starts it anew after a pause each time that
+    /// it panics.
+    pub fn spawn_supervised<T, F>(&self, name: &'static str, task: T)
+    where
+        T: Fn() -> F + Send + 'static,
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.spawn(async move {
+            while AssertUnwindSafe(task()).catch_unwind().await.is_err() {
+                log::error!("{name}: a task panicked, starting it anew.");
+                tokio::time::sleep(RESTART_PAUSE).await;
+            }
+        });
+    }
+
     /// Number of tasks in the group, including finished ones that have not been
     /// removed yet.
     pub fn len(&self) -> usize {
@@ -46,7 +72,9 @@
     /// Waits until all tasks have finished.
     pub async fn join(&self) {
         let mut tasks = std::mem::take(&mut *self.lock());
-        while tasks.join_next().await.is_some() {}
+        while let Some(ended) = tasks.join_next().await {
+            log_panic(ended);
+        }
     }
 
     /// Aborts all tasks and waits until they have ended.
@@ -63,6 +91,15 @@
     }
 }
 
+/// Logs that a task has ended by a panic.
+fn log_panic(ended: Result<(), JoinError>) {
+    if let Err(error) = ended
+        && error.is_panic()
+    {
+        log::error!("task: a task panicked; what it did is lost: {error}.");
+    }
+}
+
 /// Triggers the stop signals of any number of tasks.
 #[derive(Debug)]
 pub struct StopSource {
