Odd reports of a peer do not end a request

Authentic messages with content that no sound daemon sends are tried against gossip, rate limiter, detector and choice with a property library. One failed: a reported load with large numbers made the choice of a server panic (overflow of a time), for each request whose candidates it was among. A reported time counts as an hour at the most.

--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -6,6 +6,10 @@
 
 use ids::Percent;
 
+/// Longest time of a report that is believed. It keeps sums of times finite whatever
+/// a peer reports.
+const MAX_REPORTED_TIME: Duration = Duration::from_secs(3_600);
+
 /// Network distance to the VM of a backend server.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Distance {
@@ -67,12 +71,12 @@
 pub fn expected_delay(candidate: &Candidate) -> Duration {
     let slots = candidate.slots.max(1);
     let load = candidate.running.max(candidate.in_flight);
-    let ahead = (load + 1).saturating_sub(slots);
-    let queue_wait = candidate.service_time * ahead / slots;
-    let busy = candidate
-        .service_time
-        .mul_f64(0.1 * f64::from(load) / f64::from(slots));
-    let wait = queue_wait.max(candidate.delay) + busy + candidate.distance.round_trip();
+    let ahead = load.saturating_add(1).saturating_sub(slots);
+    let service_time = candidate.service_time.min(MAX_REPORTED_TIME);
+    let delay = candidate.delay.min(MAX_REPORTED_TIME);
+    let queue_wait = service_time * ahead / slots;
+    let busy = service_time.mul_f64(0.1 * f64::from(load) / f64::from(slots));
+    let wait = queue_wait.max(delay) + busy + candidate.distance.round_trip();
     wait.div_f64(candidate.weight.clamp(0.01, 1.0))
 }
 
