A lookup whose daemon is silent goes on beside a second one

Reported by other operators: a machine that was only silent for a while had its running work started again elsewhere, or given up. Shown here for lookups: after three checks without a reply, 1.5 s, the attempt was given up, and where no other server was left the caller got 502 though the daemon answered at 2.2 s. Work that must not run twice was not given up, with silences of 0.5 and 2.2 s.

Not changed: a connection between daemons ends after 3 s with bytes that nobody has acknowledged, and with it a request that must not run twice, which is then unknown.

--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -26,6 +26,8 @@
 struct Shared {
     target: OnceLock<SocketAddr>,
     cut: AtomicBool,
+    /// Whether datagrams are dropped.
+    deaf: AtomicBool,
     /// Number of bytes that the target can send on a new connection.
     answer_limit: AtomicU64,
 }
@@ -60,6 +62,7 @@
         let shared = Arc::new(Shared {
             target: OnceLock::new(),
             cut: AtomicBool::new(false),
+            deaf: AtomicBool::new(false),
             answer_limit: AtomicU64::new(u64::MAX),
         });
         let (cuts, cut_changes) = watch::channel(0);
@@ -103,6 +106,13 @@
         self.pause.send_replace(paused);
     }
 
+    /// Holds the data of streams and drops datagrams, as if the machine of the target
+    /// were frozen, or ends that.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.shared.deaf.store(frozen, Ordering::SeqCst);
+        self.set_paused(frozen);
+    }
+
     /// Stops relaying on the connections that are open, without closing them.
     /// Later connections are relayed.
     pub fn silence(&self) {
@@ -150,8 +160,8 @@
                 streams.spawn(relay_stream(stream, Arc::clone(&shared), signals.clone()));
             }
             Ok((length, _)) = socket.recv_from(&mut buffer) => {
-                let cut = shared.cut.load(Ordering::SeqCst);
-                if let Some(target) = shared.target.get().filter(|_| !cut) {
+                let drops = shared.cut.load(Ordering::SeqCst) || shared.deaf.load(Ordering::SeqCst);
+                if let Some(target) = shared.target.get().filter(|_| !drops) {
                     let _ = socket.send_to(&buffer[..length], target).await;
                 }
             }
--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -75,6 +75,9 @@
     Ended(AttemptId, AttemptEnd),
     /// No backend server was found for an attempt.
     NoServer(AttemptId),
+    /// The daemon that runs an attempt has been silent for a while. The attempt
+    /// goes on, since the daemon may answer yet.
+    Stalled(AttemptId),
     /// Time has passed.
     Tick,
     /// The caller has disconnected.
@@ -154,6 +157,7 @@
             // anything is sent.
             _ if now >= self.options.deadline => self.time_out(&mut actions),
             PlanEvent::Start => self.start(now, &mut actions),
+            PlanEvent::Stalled(id) => self.replace_stalled(id, budget, &mut actions),
             PlanEvent::Tick => self.hedge(now, budget, &mut actions),
         }
         actions
@@ -224,7 +228,28 @@
             Some(due) if due <= now => self.hedge_at = None,
             _ => return,
         }
-        if self.open_count() == 1 && self.may_run_again() && budget.withdraw() {
+        self.send_beside(budget, actions);
+    }
+
+    /// Sends a second attempt in parallel to one whose daemon is silent.
+    fn replace_stalled(
+        &mut self,
+        id: AttemptId,
+        budget: &RetryBudget,
+        actions: &mut Vec<PlanAction>,
+    ) {
+        let is_open = self.attempts.get(id.0 as usize) == Some(&AttemptState::Open);
+        if is_open && self.options.idempotent && self.options.replayable {
+            self.send_beside(budget, actions);
+        }
+    }
+
+    /// Sends a second attempt in parallel to the only open one, if the limits and
+    /// the budget allow it.
+    fn send_beside(&mut self, budget: &RetryBudget, actions: &mut Vec<PlanAction>) {
+        let is_below_limit = (self.attempts.len() as u32) < MAX_ATTEMPTS;
+        let is_alone = self.open_count() == 1;
+        if is_alone && is_below_limit && self.may_run_again() && budget.withdraw() {
             self.send(actions);
         }
     }
--- a/crates/route/tests/plan_fuzz.rs
+++ b/crates/route/tests/plan_fuzz.rs
@@ -18,6 +18,7 @@
     Answered(u32),
     Ended(u32, AttemptEnd),
     NoServer(u32),
+    Stalled(u32),
     Pass(u64),
     CallerDisconnected,
 }
@@ -65,6 +66,7 @@
             2 => (0..5_u32).prop_map(Step::Answered),
             6 => (0..5_u32, any_end()).prop_map(|(id, end)| Step::Ended(id, end)),
             1 => (0..5_u32).prop_map(Step::NoServer),
+            2 => (0..5_u32).prop_map(Step::Stalled),
             4 => (1..120_u64).prop_map(Step::Pass),
             1 => Just(Step::CallerDisconnected),
         ]
@@ -190,6 +192,7 @@
                 }
                 PlanEvent::NoServer(AttemptId(id))
             }
+            Step::Stalled(id) => PlanEvent::Stalled(AttemptId(id)),
             Step::Pass(_) => PlanEvent::Tick,
             Step::CallerDisconnected => PlanEvent::CallerDisconnected,
         };
--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -12,7 +12,8 @@
 use http_body_util::BodyExt;
 use hyper::{Request, Response, Version, body::Body, http::request::Parts};
 use ids::{FastMap, FastSet, MonoTime, ServerId};
-use route::AttemptEnd;
+use route::{AttemptEnd, AttemptId};
+use tokio::sync::mpsc;
 
 use self::search::{GrantedSlot, OpenOffers};
 use crate::{
@@ -36,7 +37,7 @@
 /// Time limit of the checks on a request whose connection was lost.
 const LOST_CHECK_TIMEOUT: Duration = Duration::from_millis(120);
 /// Number of checks without a reply after which an attempt of an idempotent
-/// request is given up. A request whose connection was lost is checked as
+/// request counts as stalled. A request whose connection was lost is checked as
 /// often.
 const MAX_CHECKS: u32 = 3;
 
@@ -71,8 +72,13 @@
     forced: bool,
     /// Reports the result if the request is a canary.
     canary: Option<CanaryGuard<'a>>,
+    /// Number of the attempt, and where it reports that it has stalled.
+    stall: (AttemptId, StallSender),
 }
 
+/// Receives the numbers of attempts whose daemons have become silent.
+pub type StallSender = mpsc::UnboundedSender<AttemptId>;
+
 /// Request of a caller, from which each attempt builds the one that it sends.
 pub struct RequestSource {
     /// Random number of the request, the same for all its attempts.
@@ -125,7 +131,12 @@
 
 impl<'a> RequestAttempt<'a> {
     /// Creates an attempt that has not started.
-    pub fn new(ingress: &'a Ingress, pool: Arc<PoolState>, source: Arc<RequestSource>) -> Self {
+    pub fn new(
+        ingress: &'a Ingress,
+        pool: Arc<PoolState>,
+        source: Arc<RequestSource>,
+        stall: (AttemptId, StallSender),
+    ) -> Self {
         Self {
             ingress,
             pool,
@@ -135,6 +146,7 @@
             replied: FastSet::default(),
             forced: false,
             canary: None,
+            stall,
         }
     }
 
@@ -237,9 +249,10 @@
                     _ => {}
                 },
                 () = self.sleep_until(check_at), if is_peer => {
-                    if checks_without_reply >= MAX_CHECKS && self.options().idempotent {
+                    if checks_without_reply == MAX_CHECKS && self.options().idempotent {
                         self.report_unreachable(server);
-                        return AttemptResult::Ended(AttemptEnd::Lost, None);
+                        // The run that owns the receiver may have ended.
+                        let _ = self.stall.1.send(self.stall.0);
                     }
                     checks_without_reply += 1;
                     channel.check(&server.backend.vm, slot.offer, slot.incarnation);
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -14,9 +14,11 @@
     AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, PlanAction, PlanEvent, PlanOptions,
 };
 
+use tokio::sync::mpsc;
+
 use crate::{
     answer::Refusal,
-    attempt::{AttemptResult, RequestAttempt, RequestSource},
+    attempt::{AttemptResult, RequestAttempt, RequestSource, StallSender},
     body::ProxyBody,
     ingress::Ingress,
     metrics::ServiceLabel,
@@ -70,6 +72,8 @@
     /// Latest reason why an attempt was not run.
     not_run: Option<NotRun>,
     attempts: FuturesUnordered<BoxFuture<'a, (AttemptId, AttemptResult)>>,
+    /// Reports of attempts whose daemons have become silent.
+    stalls: (StallSender, mpsc::UnboundedReceiver<AttemptId>),
 }
 
 impl<'a> RequestRun<'a> {
@@ -98,6 +102,7 @@
             source: Arc::new(source),
             not_run: None,
             attempts: FuturesUnordered::new(),
+            stalls: mpsc::unbounded_channel(),
         }
     }
 
@@ -170,6 +175,7 @@
                         PlanEvent::Ended(id, end)
                     }
                 },
+                Some(id) = self.stalls.1.recv() => PlanEvent::Stalled(id),
                 () = tokio::time::sleep_until(tick) => PlanEvent::Tick,
             };
         }
@@ -198,6 +204,7 @@
             self.ingress,
             Arc::clone(&self.pool),
             Arc::clone(&self.source),
+            (id, self.stalls.0.clone()),
         );
         self.attempts
             .push(Box::pin(async move { (id, attempt.run(may_canary).await) }));
--- a/tests/hop_faults.rs
+++ b/tests/hop_faults.rs
@@ -208,3 +208,30 @@
     fleet.stop().await;
     relay.stop().await;
 }
+
+// Guards against work that is given up, or started again, because the VM on which it
+// runs is silent for a while.
+#[test_case(Method::POST, 500; "post and a short silence")]
+#[test_case(Method::POST, 2_200; "post and a long silence")]
+#[test_case(Method::GET, 500; "lookup and a short silence")]
+#[test_case(Method::GET, 2_200; "lookup and a long silence")]
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_daemon_finishes_its_work(method: Method, silence_ms: u64) {
+    let (fleet, relay) = relayed_fleet().await;
+    fleet.backends[0].set_behaviour(Behaviour::Slow(Duration::from_millis(400)));
+    let request = fleet.request(1, method, "/plans/today").run_id("silent");
+    let silence = async {
+        fleet
+            .wait_until("the request runs", |fleet| fleet.runs("silent") == 1)
+            .await;
+        relay.set_frozen(true);
+        tokio::time::sleep(Duration::from_millis(silence_ms)).await;
+        relay.set_frozen(false);
+    };
+    let (answer, ()) = tokio::join!(fleet.send(request), silence);
+    let answer = answer.expect("the connection was closed without an answer");
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert_eq!(fleet.runs("silent"), 1);
+    fleet.stop().await;
+    relay.stop().await;
+}
