--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,14 +6,16 @@
 //! machine that disseminates revisions through the fleet and tracks the age of
 //! those that the daemon has applied.
 
+mod event;
 mod frame;
 mod message;
 mod packed;
 mod replay;
 mod spread;
 
+pub use event::{Freshness, GossipAction, GossipEvent, GossipPeer};
 pub use frame::{FrameError, FrameSeal, MAX_FRAME_BYTES, PeerFrame};
 pub use message::{KnownRevisions, PeerMessage};
 pub use packed::{PackError, pack, unpack};
 pub use replay::ReplayGuard;
-pub use spread::{Freshness, GossipAction, GossipEvent, GossipNode, GossipPeer};
+pub use spread::GossipNode;
--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -14,7 +14,10 @@
 use ids::{MonoTime, Revision, VmId, ZoneId, stable_hash, stable_pair_hash};
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
-use crate::message::{DeltaText, KnownRevisions, PeerMessage};
+use crate::{
+    event::{Freshness, GossipAction, GossipEvent, GossipPeer},
+    message::{DeltaText, KnownRevisions, PeerMessage},
+};
 
 /// Number of peers in the same zone to which a new revision is pushed.
 const ZONE_FANOUT: usize = 5;
@@ -59,69 +62,6 @@
 /// have before the daemon reads the platform.
 const MAX_BEHIND_TIME: Duration = Duration::from_millis(600);
 
-/// Live VM whose daemon takes part in the gossip.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct GossipPeer {
-    /// Id of the VM.
-    pub vm: VmId,
-    /// Zone of the VM.
-    pub zone: ZoneId,
-}
-
-/// Freshness of the revisions that a daemon has applied.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Freshness {
-    /// The revisions were confirmed by a read of the platform within the last
-    /// seconds, here or at a peer.
-    Fresh,
-    /// No reachable daemon is fresh, but this daemon is in contact with a quorum
-    /// of its cells: the platform is down.
-    PlatformDown,
-    /// Neither the platform nor a quorum is reachable: the fleet may have applied
-    /// newer revisions that this daemon does not have.
-    Isolated,
-}
-
-/// Input of a [`GossipNode`].
-#[derive(Clone, Debug)]
-pub enum GossipEvent {
-    /// The set of live VMs has changed.
-    Peers(Vec<GossipPeer>),
-    /// Revisions were put in force.
-    Adopted {
-        /// Revision of the configuration in force.
-        config: Revision,
-        /// Revision of the VM list in force.
-        vms: Revision,
-        /// Delta that was applied, if there was exactly one.
-        delta: Option<Delta>,
-    },
-    /// The platform was read successfully and has nothing newer.
-    PlatformRead,
-    /// A message of a peer was received.
-    Message {
-        /// VM of the peer.
-        from: VmId,
-        /// Revisions of the peer.
-        known: KnownRevisions,
-        /// Whether the peer expects a reply.
-        wants_reply: bool,
-    },
-    /// Time has passed.
-    Tick,
-}
-
-/// Action that the caller of a [`GossipNode`] must perform.
-#[derive(Clone, Debug, PartialEq)]
-pub enum GossipAction {
-    /// Send a message to the daemon of a VM.
-    Send(VmId, PeerMessage),
-    /// Fetch newer revisions from the daemon of a VM.
-    Pull(VmId),
-    /// Read the platform once.
-    ReadPlatform,
-}
-
 /// Gossip state machine of one daemon.
 #[derive(Debug)]
 pub struct GossipNode {
--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request: the search for a slot, the commit and the answer.
 
+mod canary;
 mod search;
 
 use std::{
@@ -15,7 +16,10 @@
 use route::{AttemptEnd, AttemptId};
 use tokio::sync::mpsc;
 
-use self::search::{GrantedSlot, OpenOffers};
+use self::{
+    canary::CanaryGuard,
+    search::{GrantedSlot, OpenOffers},
+};
 use crate::{
     body::{BufferedBody, PrefixedBody, ProxyBody, buffer_body, full_body},
     control::ControlEvent,
@@ -437,31 +441,3 @@
         _ => AttemptEnd::Unavailable,
     }
 }
-
-/// Reports the result of a canary to the control loop when it is dropped.
-struct CanaryGuard<'a> {
-    ingress: &'a Ingress,
-    server: Arc<ServerState>,
-    good: bool,
-}
-
-impl<'a> CanaryGuard<'a> {
-    /// Creates the guard of a canary that has no good answer yet.
-    fn new(ingress: &'a Ingress, server: &Arc<ServerState>) -> Self {
-        Self {
-            ingress,
-            server: Arc::clone(server),
-            good: false,
-        }
-    }
-}
-
-impl Drop for CanaryGuard<'_> {
-    fn drop(&mut self) {
-        self.ingress.control.try_send(ControlEvent::CanaryEnded {
-            service: self.server.backend.service.clone(),
-            server: self.server.backend.id.clone(),
-            good: self.good,
-        });
-    }
-}
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -9,7 +9,7 @@
 };
 use ids::{VmId, Weight};
 
-use super::{CanaryGuard, RequestAttempt, lock};
+use super::{RequestAttempt, canary::CanaryGuard, lock};
 use crate::{
     hop::SearchChannel,
     pool::{ChoiceOptions, ServerChoice},
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod adopt;
 mod detect;
+mod dump;
 mod event;
 mod follow;
 mod peers;
@@ -24,7 +25,6 @@
 use limit::{AccountLimit, LimitAction, LimitEvent, LimitNode, TakeId, TakeRefusal};
 use mesh::{Freshness, GossipAction, GossipEvent, GossipNode, PeerMessage};
 use reader::ConfigFeed;
-use serde_json::{Value, json};
 use tokio::sync::oneshot;
 
 pub use event::{ControlEvent, ControlReceiver, ControlSender, TakenToken, control_queue};
@@ -444,26 +444,4 @@
         self.tasks
             .spawn(pull_from(connections, seal, request, sender));
     }
-
-    /// Returns the state of the control loop as JSON.
-    fn dump(&self) -> Value {
-        let now = self.now();
-        let stats = self.limits.stats(now);
-        let freshness = self.gossip.freshness(now, self.has_contact(now));
-        json!({
-            "freshness": format!("{freshness:?}"),
-            "platform_age_ms": self.gossip.age(now).as_millis() as u64,
-            "reader": self.gossip.is_reader(),
-            "limits": {
-                "homes": stats.homes,
-                "ingress_accounts": stats.ingress_accounts,
-                "cells": stats.cells,
-                "heard": stats.cells_with_quorum,
-                "granted": stats.granted,
-                "asks_without_shares": stats.requests_without_shares,
-            },
-            "detectors": self.detectors.dump(),
-            "kept_deltas": self.kept_deltas.len(),
-        })
-    }
 }
