A daemon that is killed waits for the connections that it has accepted

The tasks of accepted connections belonged to the listener's task; when that was aborted they were dropped and nobody waited for their end, and each holds the socket of the daemon. Callers saw nothing: a process that ends closes all.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -113,6 +113,8 @@
     stops: [StopSource; 3],
     /// Tasks of the same three parts.
     groups: [TaskGroup; 3],
+    /// Tasks of the connections that the three listeners have accepted.
+    accepted: [Arc<TaskGroup>; 3],
     /// Tasks of the connections to peers and backend servers.
     connections: Arc<TaskGroup>,
 }
@@ -277,12 +279,14 @@
         };
         let stops = [(); 3].map(|()| StopSource::default());
         let groups = [(); 3].map(|()| TaskGroup::new());
+        let accepted = [(); 3].map(|()| Arc::new(TaskGroup::new()));
         groups[0].spawn(self.ingress.run(
             move |request| {
                 let ingress = Arc::clone(&ingress);
                 async move { ingress.serve(request).await }
             },
             stops[0].signal(),
+            Arc::clone(&accepted[0]),
         ));
         groups[1].spawn(self.peer.run(
             move |request| {
@@ -290,6 +294,7 @@
                 async move { handler.serve(request).await }
             },
             stops[1].signal(),
+            Arc::clone(&accepted[1]),
         ));
         groups[2].spawn(self.admin.run(
             move |request| {
@@ -297,6 +302,7 @@
                 async move { admin.serve(&request).await }
             },
             stops[2].signal(),
+            Arc::clone(&accepted[2]),
         ));
         let control = ControlLoop::new(control, is_reader);
         groups[2].spawn(control.run(events, stops[2].signal()));
@@ -314,6 +320,7 @@
             settings: live_settings,
             stops,
             groups,
+            accepted,
             connections,
         }
     }
@@ -386,6 +393,11 @@
         // of waiting for their end.
         self.groups[1].abort().await;
         self.groups[2].abort().await;
+        // The ports are free for a daemon that starts anew only when no connection
+        // uses what this one has bound.
+        for accepted in &self.accepted {
+            accepted.abort().await;
+        }
         self.pools.clear_idle();
         self.connections.abort().await;
     }
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -86,13 +86,13 @@
     }
 
     /// Accepts connections until `stop` is signaled, then lets the open ones
-    /// finish. Returns when the last one has ended.
-    pub async fn run<H, F>(self, handler: H, mut stop: StopSignal)
+    /// finish. Returns when the last one has ended. The connections are tasks of
+    /// `group`, so that its owner can wait for their end if this is aborted.
+    pub async fn run<H, F>(self, handler: H, mut stop: StopSignal, group: Arc<TaskGroup>)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<ProxyBody>> + Send + 'static,
     {
-        let group = TaskGroup::new();
         let permits = Arc::new(Semaphore::new(self.limits.connections));
         loop {
             let stopping = stop.clone();
