--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
@@ -22,10 +22,14 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// State shared between the task of the relay and its owner.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     target: OnceLock<SocketAddr>,
     cut: AtomicBool,
+    /// Whether datagrams are dropped.
+    deaf: AtomicBool,
+    /// Number of bytes that the target can send on a new connection.
+    answer_limit: AtomicU64,
 }
 
 /// Relays TCP connections and UDP datagrams from one port to a target.
@@ -55,7 +59,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let socket = UdpSocket::bind(address).await?;
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared {
+            target: OnceLock::new(),
+            cut: AtomicBool::new(false),
+            deaf: AtomicBool::new(false),
+            answer_limit: AtomicU64::new(u64::MAX),
+        });
         let (cuts, cut_changes) = watch::channel(0);
         let (pause, paused) = watch::channel(false);
         let (silences, silenced) = watch::channel(0);
@@ -97,12 +106,27 @@
         self.pause.send_replace(paused);
     }
 
+    /// Holds the data of streams and drops datagrams, as if the machine of the target
+    /// were frozen, or ends that.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.shared.deaf.store(frozen, Ordering::SeqCst);
+        self.set_paused(frozen);
+    }
+
     /// Stops relaying on the connections that are open, without closing them.
     /// Later connections are relayed.
     pub fn silence(&self) {
         self.silences.send_modify(|count| *count += 1);
     }
 
+    /// Closes all connections, and ends each new one after the target has sent this
+    /// many bytes on it. `None` sets no limit.
+    pub fn limit_answers(&self, bytes: Option<u64>) {
+        let limit = bytes.unwrap_or(u64::MAX);
+        self.shared.answer_limit.store(limit, Ordering::SeqCst);
+        self.set_cut(false);
+    }
+
     /// Stops the relay, closes its connections and waits until it has ended.
     pub async fn stop(self) {
         self.task.abort();
@@ -136,8 +160,8 @@
                 streams.spawn(relay_stream(stream, Arc::clone(&shared), signals.clone()));
             }
             Ok((length, _)) = socket.recv_from(&mut buffer) => {
-                let cut = shared.cut.load(Ordering::SeqCst);
-                if let Some(target) = shared.target.get().filter(|_| !cut) {
+                let drops = shared.cut.load(Ordering::SeqCst) || shared.deaf.load(Ordering::SeqCst);
+                if let Some(target) = shared.target.get().filter(|_| !drops) {
                     let _ = socket.send_to(&buffer[..length], target).await;
                 }
             }
@@ -161,7 +185,8 @@
     let (from_caller, to_caller) = stream.into_split();
     let (from_target, to_target) = out.into_split();
     let forth = copy_stream(from_caller, to_target, signals.clone());
-    let back = copy_stream(from_target, to_caller, signals.clone());
+    let limit = shared.answer_limit.load(Ordering::SeqCst);
+    let back = copy_stream(from_target.take(limit), to_caller, signals.clone());
     let both = async { tokio::join!(forth, back) };
     tokio::pin!(both);
     tokio::select! {
--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request: the search for a slot, the commit and the answer.
 
+mod canary;
 mod search;
 
 use std::{
@@ -10,17 +11,22 @@
 use bytes::Bytes;
 use hop::{OfferId, OfferReply};
 use http_body_util::BodyExt;
-use hyper::{Request, Response, Version, http::request::Parts};
+use hyper::{Request, Response, Version, body::Body, http::request::Parts};
 use ids::{FastMap, FastSet, MonoTime, ServerId};
-use route::AttemptEnd;
+use route::{AttemptEnd, AttemptId};
+use tokio::sync::mpsc;
 
-use self::search::{GrantedSlot, OpenOffers};
+use self::{
+    canary::CanaryGuard,
+    search::{GrantedSlot, OpenOffers},
+};
 use crate::{
     body::{BufferedBody, PrefixedBody, ProxyBody, buffer_body, full_body},
     control::ControlEvent,
     egress::EgressAnswer,
     hop::SearchChannel,
     ingress::Ingress,
+    ledger::SentKind,
     link::SendError,
     pool::{PoolState, ServerChoice, ServerState},
     run::RunOptions,
@@ -35,7 +41,7 @@
 /// Time limit of the checks on a request whose connection was lost.
 const LOST_CHECK_TIMEOUT: Duration = Duration::from_millis(120);
 /// Number of checks without a reply after which an attempt of an idempotent
-/// request is given up. A request whose connection was lost is checked as
+/// request counts as stalled. A request whose connection was lost is checked as
 /// often.
 const MAX_CHECKS: u32 = 3;
 
@@ -70,8 +76,13 @@
     forced: bool,
     /// Reports the result if the request is a canary.
     canary: Option<CanaryGuard<'a>>,
+    /// Number of the attempt, and where it reports that it has stalled.
+    stall: (AttemptId, StallSender),
 }
 
+/// Receives the numbers of attempts whose daemons have become silent.
+pub type StallSender = mpsc::UnboundedSender<AttemptId>;
+
 /// Request of a caller, from which each attempt builds the one that it sends.
 pub struct RequestSource {
     /// Random number of the request, the same for all its attempts.
@@ -124,7 +135,12 @@
 
 impl<'a> RequestAttempt<'a> {
     /// Creates an attempt that has not started.
-    pub fn new(ingress: &'a Ingress, pool: Arc<PoolState>, source: Arc<RequestSource>) -> Self {
+    pub fn new(
+        ingress: &'a Ingress,
+        pool: Arc<PoolState>,
+        source: Arc<RequestSource>,
+        stall: (AttemptId, StallSender),
+    ) -> Self {
         Self {
             ingress,
             pool,
@@ -134,6 +150,7 @@
             replied: FastSet::default(),
             forced: false,
             canary: None,
+            stall,
         }
     }
 
@@ -236,9 +253,10 @@
                     _ => {}
                 },
                 () = self.sleep_until(check_at), if is_peer => {
-                    if checks_without_reply >= MAX_CHECKS && self.options().idempotent {
+                    if checks_without_reply == MAX_CHECKS && self.options().idempotent {
                         self.report_unreachable(server);
-                        return AttemptResult::Ended(AttemptEnd::Lost, None);
+                        // The run that owns the receiver may have ended.
+                        let _ = self.stall.1.send(self.stall.0);
                     }
                     checks_without_reply += 1;
                     channel.check(&server.backend.vm, slot.offer, slot.incarnation);
@@ -319,6 +337,11 @@
         };
         let seal = self.ingress.seal.seal(attempt);
         request.headers_mut().insert(wire::ATTEMPT, seal);
+        if let Some(bytes) = request.body().size_hint().exact() {
+            let ledger = &self.ingress.metrics.ledger;
+            let counter = ledger.counter(SentKind::RequestBody, server.distance);
+            counter.inc_by(bytes);
+        }
         let response = connections.send(request).await?;
         let header = response.headers().get(wire::REPORT);
         let report = header.and_then(|value| self.ingress.seal.open::<EgressReport>(value));
@@ -418,31 +441,3 @@
         _ => AttemptEnd::Unavailable,
     }
 }
-
-/// Reports the result of a canary to the control loop when it is dropped.
-struct CanaryGuard<'a> {
-    ingress: &'a Ingress,
-    server: Arc<ServerState>,
-    good: bool,
-}
-
-impl<'a> CanaryGuard<'a> {
-    /// Creates the guard of a canary that has no good answer yet.
-    fn new(ingress: &'a Ingress, server: &Arc<ServerState>) -> Self {
-        Self {
-            ingress,
-            server: Arc::clone(server),
-            good: false,
-        }
-    }
-}
-
-impl Drop for CanaryGuard<'_> {
-    fn drop(&mut self) {
-        self.ingress.control.try_send(ControlEvent::CanaryEnded {
-            service: self.server.backend.service.clone(),
-            server: self.server.backend.id.clone(),
-            good: self.good,
-        });
-    }
-}
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -6,12 +6,18 @@
 
 mod adopt;
 mod detect;
+mod dump;
 mod event;
 mod follow;
 mod peers;
 mod pull;
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::VecDeque,
+    panic::{AssertUnwindSafe, catch_unwind},
+    sync::Arc,
+    time::Duration,
+};
 
 use config::{ConfigTable, Delta};
 use health::Event as HealthEvent;
@@ -19,7 +25,6 @@
 use limit::{AccountLimit, LimitAction, LimitEvent, LimitNode, TakeId, TakeRefusal};
 use mesh::{Freshness, GossipAction, GossipEvent, GossipNode, PeerMessage};
 use reader::ConfigFeed;
-use serde_json::{Value, json};
 use tokio::sync::oneshot;
 
 pub use event::{ControlEvent, ControlReceiver, ControlSender, TakenToken, control_queue};
@@ -127,7 +132,7 @@
         let mut gossip = GossipNode::new(vm.clone(), parts.view.zone.clone(), now, rand::random());
         gossip.set_readers_per_zone(parts.settings.load().policy.readers_per_zone);
         Self {
-            limits: LimitNode::new(vm, now, rand::random()),
+            limits: LimitNode::new(vm, now, u64::from(rand::random::<u32>())),
             gossip,
             detectors,
             pending_takes: FastMap::default(),
@@ -155,15 +160,26 @@
                 () = stop.stopped() => break,
                 () = tokio::time::sleep_until(ticked_at + interval) => {
                     ticked_at = tokio::time::Instant::now();
-                    self.tick();
+                    self.contain(Self::tick);
+                }
+                Some(event) = events.recv() => self.contain(|this| this.handle_event(event)),
+                (from, message) = self.parts.socket.receive() => {
+                    self.contain(|this| this.handle_message(from, message));
                 }
-                Some(event) = events.recv() => self.handle_event(event),
-                (from, message) = self.parts.socket.receive() => self.handle_message(from, message),
             }
         }
         self.tasks.abort().await;
     }
 
+    /// Handles one input. A panic ends only that, since requests and peers need a
+    /// control loop: its state machines check what they are told in any case.
+    fn contain(&mut self, handle: impl FnOnce(&mut Self)) {
+        if catch_unwind(AssertUnwindSafe(|| handle(self))).is_err() {
+            self.parts.metrics.contained_panics.inc();
+            log::error!("control: the handling of an input panicked; the input is lost.");
+        }
+    }
+
     /// Returns the current time.
     fn now(&self) -> MonoTime {
         self.parts.clock.now()
@@ -428,26 +444,4 @@
         self.tasks
             .spawn(pull_from(connections, seal, request, sender));
     }
-
-    /// Returns the state of the control loop as JSON.
-    fn dump(&self) -> Value {
-        let now = self.now();
-        let stats = self.limits.stats(now);
-        let freshness = self.gossip.freshness(now, self.has_contact(now));
-        json!({
-            "freshness": format!("{freshness:?}"),
-            "platform_age_ms": self.gossip.age(now).as_millis() as u64,
-            "reader": self.gossip.is_reader(),
-            "limits": {
-                "homes": stats.homes,
-                "ingress_accounts": stats.ingress_accounts,
-                "cells": stats.cells,
-                "heard": stats.cells_with_quorum,
-                "granted": stats.granted,
-                "asks_without_shares": stats.requests_without_shares,
-            },
-            "detectors": self.detectors.dump(),
-            "kept_deltas": self.kept_deltas.len(),
-        })
-    }
 }
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -50,8 +50,6 @@
 /// Time in which peers learn that this daemon is leaving, before it closes its
 /// peer address.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
-/// Part of the grace period reserved for refusing requests that found no slot.
-const SEARCH_RESERVE: Duration = Duration::from_millis(500);
 /// Part of the grace period reserved for ending the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
@@ -115,6 +113,8 @@
     stops: [StopSource; 3],
     /// Tasks of the same three parts.
     groups: [TaskGroup; 3],
+    /// Tasks of the connections that the three listeners have accepted.
+    accepted: [Arc<TaskGroup>; 3],
     /// Tasks of the connections to peers and backend servers.
     connections: Arc<TaskGroup>,
 }
@@ -144,12 +144,15 @@
             connections: budgets.connections,
             head_bytes: budgets.head_bytes,
             head_timeout: budgets.head_timeout(),
+            adds_date: true,
         };
         let peer_limits = ListenerLimits {
             connections: MAX_PEER_CONNECTIONS,
             // The head of an attempt holds metadata beside the caller's head.
             head_bytes: budgets.head_bytes + 8_192,
             head_timeout: PEER_IDLE_TIMEOUT,
+            // The ingress adds the date if the backend server gave none.
+            adds_date: false,
         };
         let admin_limits = ListenerLimits {
             connections: MAX_ADMIN_CONNECTIONS,
@@ -201,6 +204,7 @@
             Arc::clone(&view),
             Arc::clone(&connections),
             Arc::clone(&live_settings),
+            Arc::clone(&metrics),
         ));
         let egress = Arc::new(EgressHub::new(
             Arc::clone(&view),
@@ -241,6 +245,8 @@
             egress: Arc::clone(&egress),
             seal: seal.clone(),
             control: control.clone(),
+            view: Arc::clone(&view),
+            metrics: Arc::clone(&metrics),
         });
         let admin = Arc::new(AdminHandler {
             view: Arc::clone(&view),
@@ -273,12 +279,14 @@
         };
         let stops = [(); 3].map(|()| StopSource::default());
         let groups = [(); 3].map(|()| TaskGroup::new());
+        let accepted = [(); 3].map(|()| Arc::new(TaskGroup::new()));
         groups[0].spawn(self.ingress.run(
             move |request| {
                 let ingress = Arc::clone(&ingress);
                 async move { ingress.serve(request).await }
             },
             stops[0].signal(),
+            Arc::clone(&accepted[0]),
         ));
         groups[1].spawn(self.peer.run(
             move |request| {
@@ -286,6 +294,7 @@
                 async move { handler.serve(request).await }
             },
             stops[1].signal(),
+            Arc::clone(&accepted[1]),
         ));
         groups[2].spawn(self.admin.run(
             move |request| {
@@ -293,11 +302,16 @@
                 async move { admin.serve(&request).await }
             },
             stops[2].signal(),
+            Arc::clone(&accepted[2]),
         ));
         let control = ControlLoop::new(control, is_reader);
         groups[2].spawn(control.run(events, stops[2].signal()));
-        groups[2].spawn(watcher.run(stops[2].signal()));
-        groups[2].spawn(probe_all(Arc::clone(&egress), stops[2].signal()));
+        let stop = stops[2].signal();
+        groups[2].spawn_supervised("platform", move || watcher.clone().run(stop.clone()));
+        let (probed, stop) = (Arc::clone(&egress), stops[2].signal());
+        groups[2].spawn_supervised("probe", move || {
+            probe_all(Arc::clone(&probed), stop.clone())
+        });
         Daemon {
             addresses: self.addresses,
             view,
@@ -306,6 +320,7 @@
             settings: live_settings,
             stops,
             groups,
+            accepted,
             connections,
         }
     }
@@ -341,9 +356,9 @@
         let grace = settings.budgets.grace();
         let end = Instant::now() + grace.saturating_sub(EXIT_RESERVE);
         self.view.set_leaving(true);
-        self.view
-            .set_search_deadline(end - SEARCH_RESERVE.min(grace / 4));
-        tokio::time::sleep(settings.policy.linger()).await;
+        self.view.set_stop_end(end);
+        // What is taken at the end of the linger time needs time to finish.
+        tokio::time::sleep(settings.policy.linger().min(grace / 2)).await;
         self.egress.set_draining(true);
         self.stops[0].stop();
         let drained = timeout_at(end, async {
@@ -378,6 +393,11 @@
         // of waiting for their end.
         self.groups[1].abort().await;
         self.groups[2].abort().await;
+        // The ports are free for a daemon that starts anew only when no connection
+        // uses what this one has bound.
+        for accepted in &self.accepted {
+            accepted.abort().await;
+        }
         self.pools.clear_idle();
         self.connections.abort().await;
     }
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -1,16 +1,28 @@
 //! Accepts HTTP connections and shuts them down gracefully.
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
+use futures::FutureExt;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{Notify, Semaphore},
 };
 
 use crate::{
     body::ProxyBody,
+    ledger::{MeteredStream, StreamMeter},
     task::{StopSignal, TaskGroup},
 };
 
@@ -19,6 +31,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
+/// Time after `stop` in which a connection may still send its first request. Its
+/// caller can't know that the listener is stopping.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +46,8 @@
     /// Maximum time until the head of a request is complete, which is also the
     /// maximum time that a connection may be idle.
     pub head_timeout: Duration,
+    /// Whether answers without a date get one.
+    pub adds_date: bool,
 }
 
 /// A listener that is bound to an address and does not accept connections yet.
@@ -69,13 +86,13 @@
     }
 
     /// Accepts connections until `stop` is signaled, then lets the open ones
-    /// finish. Returns when the last one has ended.
-    pub async fn run<H, F>(self, handler: H, mut stop: StopSignal)
+    /// finish. Returns when the last one has ended. The connections are tasks of
+    /// `group`, so that its owner can wait for their end if this is aborted.
+    pub async fn run<H, F>(self, handler: H, mut stop: StopSignal, group: Arc<TaskGroup>)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<ProxyBody>> + Send + 'static,
     {
-        let group = TaskGroup::new();
         let permits = Arc::new(Semaphore::new(self.limits.connections));
         loop {
             let stopping = stop.clone();
@@ -95,6 +112,16 @@
                 () = stop.stopped() => break,
             }
         }
+        // Connections that wait to be accepted would be reset with the listener.
+        while let Some((stream, permit)) = accept(&self.listener, &permits).now_or_never().flatten()
+        {
+            let handler = handler.clone();
+            let (limits, stopping) = (self.limits, stop.clone());
+            group.spawn(async move {
+                serve_connection(stream, handler, limits, stopping).await;
+                drop(permit);
+            });
+        }
         drop(self.listener);
         group.join().await;
     }
@@ -112,7 +139,7 @@
 }
 
 /// Serves a connection until it ends. After `stop` is signaled, it answers only
-/// the request that it has already received.
+/// the request that it has already received, or its first one if that comes soon.
 async fn serve_connection<H, F>(
     stream: TcpStream,
     handler: H,
@@ -122,19 +149,37 @@
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<ProxyBody>>,
 {
-    let service = service_fn(|request| {
+    let meter = Arc::new(StreamMeter::default());
+    let first_request = Notify::new();
+    let requested = AtomicBool::new(false);
+    let service = service_fn(|mut request: Request<Incoming>| {
+        requested.store(true, Ordering::Relaxed);
+        first_request.notify_one();
+        request.extensions_mut().insert(Arc::clone(&meter));
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
+        .auto_date_header(limits.adds_date)
         .max_buf_size(limits.head_bytes.max(8_192))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(MeteredStream::new(stream, Arc::clone(&meter))),
+            service,
+        );
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = stop.stopped() => connection.as_mut().graceful_shutdown(),
+        () = stop.stopped() => {}
+    }
+    if !requested.load(Ordering::Relaxed) {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = first_request.notified() => {}
+            () = tokio::time::sleep(FIRST_REQUEST_TIME) => {}
+        }
     }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -11,6 +11,8 @@
     registry::Registry,
 };
 
+use crate::ledger::ByteLedger;
+
 /// Labels of a metric by outcome.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 pub struct OutcomeLabel {
@@ -60,10 +62,12 @@
     pub fallback_reads: Counter,
     /// Number of refused configurations.
     pub config_refused: Counter,
+    /// Number of inputs of the control loop whose handling panicked.
+    pub contained_panics: Counter,
     /// Number of peer messages received, valid and invalid.
     pub peer_messages: Family<OutcomeLabel, Counter>,
-    /// Number of bytes sent in peer messages.
-    pub peer_bytes: Counter,
+    /// Bytes sent to other daemons, by kind and distance.
+    pub ledger: ByteLedger,
     /// Number of open connections of callers.
     pub connections: Gauge,
     /// Number of backend servers of this VM that have named a limit.
@@ -91,8 +95,9 @@
             platform_calls: Counter::default(),
             fallback_reads: Counter::default(),
             config_refused: Counter::default(),
+            contained_panics: Counter::default(),
             peer_messages: Family::default(),
-            peer_bytes: Counter::default(),
+            ledger: ByteLedger::default(),
             connections: Gauge::default(),
             limited_servers: Gauge::default(),
             waiting: Gauge::default(),
@@ -162,15 +167,30 @@
             "Configurations refused",
             self.config_refused.clone(),
         );
+        registry.register(
+            "contained_panics",
+            "Inputs of the control loop whose handling panicked",
+            self.contained_panics.clone(),
+        );
         registry.register(
             "peer_messages",
             "Peer messages received",
             self.peer_messages.clone(),
         );
         registry.register(
-            "peer_bytes",
-            "Bytes of peer messages sent",
-            self.peer_bytes.clone(),
+            "peer_sent_bytes",
+            "Bytes sent to other daemons by kind and distance",
+            self.ledger.whole.clone(),
+        );
+        registry.register(
+            "peer_part_bytes",
+            "Bytes sent to other daemons that are also part of another kind",
+            self.ledger.parts.clone(),
+        );
+        registry.register(
+            "peer_connections_opened",
+            "Connections opened to other daemons by distance",
+            self.ledger.connections.clone(),
         );
         registry.register(
             "connections",
--- a/tests/hop_faults.rs
+++ b/tests/hop_faults.rs
@@ -9,7 +9,7 @@
 use config::Record;
 use fakes::{Behaviour, DropRelay};
 use harness::{Answer, Fleet, FleetShape};
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use test_case::test_case;
 
 /// Deadline of the service, in milliseconds. It is long enough for a hop that
@@ -166,3 +166,72 @@
     fleet.stop().await;
     relay.stop().await;
 }
+
+// Guards against an answer between daemons that breaks off and reaches the caller as
+// complete, at every byte.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answer_is_no_success() {
+    let (fleet, relay) = relayed_fleet().await;
+    let mut length = 0;
+    let mut reached = 0;
+    loop {
+        relay.limit_answers(Some(length));
+        let id = format!("cut{length}");
+        let request = fleet.request(1, Method::POST, "/plans/book").run_id(&id);
+        let answer = fleet.send(request).await;
+        let runs = fleet.runs(&id);
+        assert!(runs <= 1, "{length}: {answer:?}");
+        reached += runs;
+        match &answer {
+            // All of the answer fitted the limit.
+            Ok(answer) if answer.status == StatusCode::OK => {
+                assert_eq!(answer.body, "break plan", "{length}");
+                break;
+            }
+            Ok(answer) if answer.outcome() == "not-run" => assert_eq!(runs, 0, "{answer:?}"),
+            Ok(answer) => assert_eq!(answer.outcome(), "unknown", "{length}: {answer:?}"),
+            // The body broke off, and the connection was closed to show it.
+            Err(_) => {}
+        }
+        length += 1;
+        assert!(length < 2_000, "no answer was complete");
+        // A good answer shows that the path is sound.
+        relay.limit_answers(None);
+        fleet
+            .wait_for_answer(1, "/plans/today", StatusCode::OK)
+            .await;
+    }
+    assert!(
+        reached * 10 >= length * 9,
+        "{reached} of {length} requests ran"
+    );
+    fleet.stop().await;
+    relay.stop().await;
+}
+
+// Guards against work that is given up, or started again, because the VM on which it
+// runs is silent for a while.
+#[test_case(Method::POST, 500; "post and a short silence")]
+#[test_case(Method::POST, 2_200; "post and a long silence")]
+#[test_case(Method::GET, 500; "lookup and a short silence")]
+#[test_case(Method::GET, 2_200; "lookup and a long silence")]
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_daemon_finishes_its_work(method: Method, silence_ms: u64) {
+    let (fleet, relay) = relayed_fleet().await;
+    fleet.backends[0].set_behaviour(Behaviour::Slow(Duration::from_millis(400)));
+    let request = fleet.request(1, method, "/plans/today").run_id("silent");
+    let silence = async {
+        fleet
+            .wait_until("the request runs", |fleet| fleet.runs("silent") == 1)
+            .await;
+        relay.set_frozen(true);
+        tokio::time::sleep(Duration::from_millis(silence_ms)).await;
+        relay.set_frozen(false);
+    };
+    let (answer, ()) = tokio::join!(fleet.send(request), silence);
+    let answer = answer.expect("the connection was closed without an answer");
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert_eq!(fleet.runs("silent"), 1);
+    fleet.stop().await;
+    relay.stop().await;
+}
