A peer port that the system chooses is free for datagrams too

With port 0 the system chooses a port that is free for connections; the same number was in use for datagrams. Another port is tried then, eight times at the most. Fixed ports, as in every installation, behave as before.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -47,6 +47,8 @@
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 /// Interval between checks of whether the egress has finished its requests.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of further ports that are tried if the system chooses the peer port.
+const MAX_PORT_TRIES: u32 = 8;
 /// Time in which peers learn that this daemon is leaving, before it closes its
 /// peer address.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
@@ -132,6 +134,32 @@
     bound.change_context(DaemonError::Bind { field, address })
 }
 
+/// Binds the peer address for connections and for datagrams. With port 0, the port
+/// that is free for connections may be in use for datagrams, and another is taken.
+fn bind_peer(
+    address: SocketAddr,
+    limits: ListenerLimits,
+) -> Result<(HttpListener, tokio::net::UdpSocket, SocketAddr), Report<DaemonError>> {
+    let mut tries_left = if address.port() == 0 {
+        MAX_PORT_TRIES
+    } else {
+        0
+    };
+    loop {
+        let (listener, bound) = bind("peer", address, limits)?;
+        match bind_datagrams(bound) {
+            Ok(datagrams) => return Ok((listener, datagrams, bound)),
+            Err(_) if tries_left > 0 => tries_left -= 1,
+            Err(error) => {
+                return Err(error).change_context(DaemonError::Bind {
+                    field: "peer",
+                    address: bound,
+                });
+            }
+        }
+    }
+}
+
 impl DaemonBuilder {
     /// Binds the addresses from the settings.
     ///
@@ -159,11 +187,7 @@
             ..caller_limits
         };
         let (ingress, ingress_address) = bind("ingress", settings.ingress, caller_limits)?;
-        let (peer, peer_address) = bind("peer", settings.peer, peer_limits)?;
-        let datagrams = bind_datagrams(peer_address).change_context(DaemonError::Bind {
-            field: "peer",
-            address: peer_address,
-        })?;
+        let (peer, datagrams, peer_address) = bind_peer(settings.peer, peer_limits)?;
         let (admin, admin_address) = bind("admin", settings.admin, admin_limits)?;
         Ok(Self {
             settings,
