--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(dirname "$0")"
 python3 -c 'import sys; assert sys.version_info >= (3, 9), sys.version'
-for file in rig/rig.py */play.py; do
+for file in rig/rig.py */play.py extra/*/play.py; do
   [ -f "$file" ] || continue
   python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -178,21 +178,20 @@
         self.rig.store.put("servers/" + self.id, self.entry(state))
 
     async def serve(self, reader, writer):
-        gone = asyncio.Event()
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 first, headers = parse_head(head)
                 body = await read_body(reader, headers)
                 method, target, _ = first.split(" ", 2)
-                if not await self.respond(writer, method, target, headers, body):
+                if not await self.respond(reader, writer, method, target, headers, body):
                     return
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            gone.set()
+            pass
         finally:
             writer.close()
 
-    async def respond(self, writer, method, target, headers, body):
+    async def respond(self, reader, writer, method, target, headers, body):
         request_id = headers.get(REQUEST_ID)
         if target == "/healthz":
             return await self.send(writer, 200, [("X-Dogwoodshore-Instance-Id", self.id)], b"")
@@ -213,7 +212,12 @@
                             f"body {len(body)} bytes")
         try:
             wait, status, data = self.work(request)
-            await asyncio.sleep(wait)
+            end = now() + wait
+            while now() < end:
+                await asyncio.sleep(min(0.02, end - now()))
+                if reader.at_eof():  # the request is dropped with its connection
+                    self.rig.record.add(f"{self.id} {self.ip} drops {request_id}")
+                    return False
         finally:
             self.running -= 1
         self.rig.record.add(f"{self.id} {self.ip} ends {request_id} with {status}")
@@ -235,6 +239,8 @@
         self.process = None
         # Where the daemon itself listens for its peers, if a relay stands before it.
         self.peer_ip = ip
+        # Where the daemon reaches the store, if a relay stands before that.
+        self.store_address = None
         self.log = open(rig.folder / f"log-{ip}.txt", "ab")
 
     def settings(self):
@@ -251,8 +257,11 @@
         }
         values.update({f"bounds.{name}": json.dumps(v) for name, v in terms.items()})
         text = re.sub(r"\{\{([^{}]+)\}\}", lambda m: values[m.group(1)], text)
-        own = f'"peer": "{self.ip}:'
-        return text.replace(own, f'"peer": "{self.peer_ip}:')
+        text = text.replace(f'"peer": "{self.ip}:', f'"peer": "{self.peer_ip}:')
+        if self.store_address:
+            text = text.replace('"platform": "%s:%d"' % self.rig.store.address,
+                                '"platform": "%s:%d"' % self.store_address)
+        return text
 
     def start(self):
         path = self.rig.folder / f"settings-{self.ip}.yaml"
