--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -426,6 +426,10 @@
     rig = Rig(case_dir)
 
     async def whole():
+        # A script that is ended from outside ends its daemons as well.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        loop.add_signal_handler(signal.SIGINT, task.cancel)
         try:
             return await asyncio.wait_for(play(rig, trouble), 110)
         finally:
@@ -433,7 +437,7 @@
 
     try:
         held = asyncio.run(whole())
-    except Exception as error:  # the case could not run
+    except BaseException as error:  # the case could not run
         rig.record.add(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr, flush=True)
         os._exit(2)
