A silent connection to the platform does not hold a watch

Seen: where the platform publishes packed values, a change came late after connections to it had fallen silent without a reset: a watch waited 3.7 s on a silent connection, and the next call could take another silent one from the pool. Cause: the pool kept connections after a time-out, the time limit of a watch was that of the largest read, and the sockets had no keepalive. Ruled out: the client of the users' store does this already (platform/tests/store_feed.rs, silent_connections_replaced and silent_watch_is_repeated). Change: a time-out drops all pooled connections; a watch that gets nothing within its wait and a quarter of the read timeout is repeated once without a wait on a new connection, with the full read timeout; sockets have a keepalive and a user timeout.

--- a/crates/reader/src/http.rs
+++ b/crates/reader/src/http.rs
@@ -1,6 +1,10 @@
 //! Client of the platform over HTTP with long polling.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use config::MAX_VALUE_BYTES;
@@ -21,6 +25,17 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time limit for a complete response, in addition to the wait time of a watch.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Ratio of that time limit to the one of a watch on a pooled connection. A
+/// connection that no longer responds has to be replaced well within the time in
+/// which a change has to be in force.
+const POOLED_DIVISOR: u32 = 4;
+/// Idle time after which a connection is probed, and interval between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of unanswered probes after which a connection counts as dead.
+const KEEPALIVE_RETRIES: u32 = 3;
+/// Time that sent bytes may remain unacknowledged before the connection is
+/// closed.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Header that contains the revision of a value.
@@ -55,27 +70,38 @@
 
     /// Builds the client, which connects on its first request.
     pub fn build(self) -> HttpPlatform {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
         HttpPlatform {
             address: self.address,
             read_timeout: self.read_timeout,
-            client,
+            client: Arc::new(Mutex::new(new_client())),
         }
     }
 }
 
+/// HTTP client with pooled connections.
+type HttpClient = Client<HttpConnector, Empty<Bytes>>;
+
+/// Creates a client without connections.
+fn new_client() -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
+    connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+    connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .build(connector)
+}
+
 /// Client of a platform with the protocol of `docs/PLATFORM.md`.
 #[derive(Clone, Debug)]
 pub struct HttpPlatform {
     address: SocketAddr,
     read_timeout: Duration,
-    client: Client<HttpConnector, Empty<Bytes>>,
+    client: Arc<Mutex<HttpClient>>,
 }
 
 impl HttpPlatform {
@@ -94,8 +120,9 @@
                 cause: error.to_string(),
             })
         })?;
+        let client = self.lock_client().clone();
         let result = async {
-            let response = self.client.request(request).await.map_err(|error| {
+            let response = client.request(request).await.map_err(|error| {
                 Report::new(PlatformError::Unreachable {
                     name: name.to_owned(),
                     cause: error.to_string(),
@@ -105,12 +132,23 @@
         };
         match timeout(limit, result).await {
             Ok(result) => result,
-            Err(_) => Err(Report::new(PlatformError::TimedOut {
-                name: name.to_owned(),
-                after: limit,
-            })),
+            Err(_) => {
+                // The other pooled connections may be silent as well.
+                *self.lock_client() = new_client();
+                Err(Report::new(PlatformError::TimedOut {
+                    name: name.to_owned(),
+                    after: limit,
+                }))
+            }
         }
     }
+
+    /// Locks the client, whose holders never panic.
+    fn lock_client(&self) -> MutexGuard<'_, HttpClient> {
+        self.client
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
 }
 
 /// Reads a response with its body. Returns `None` for status 304.
@@ -173,9 +211,17 @@
         wait: Duration,
     ) -> BoxFuture<'a, Result<Option<PlatformValue>, Report<PlatformError>>> {
         Box::pin(async move {
-            let query = format!("?after={after}&wait_ms={}", wait.as_millis());
-            let limit = wait + self.read_timeout;
-            match self.get_value(name, &query, limit).await? {
+            let query = |wait: Duration| format!("?after={after}&wait_ms={}", wait.as_millis());
+            let limit = wait + self.read_timeout / POOLED_DIVISOR;
+            let value = match self.get_value(name, &query(wait), limit).await {
+                Err(error) if matches!(error.current_context(), PlatformError::TimedOut { .. }) => {
+                    log::info!("reader: the platform is asked again on a new connection: {error}.");
+                    let query = query(Duration::ZERO);
+                    self.get_value(name, &query, self.read_timeout).await?
+                }
+                value => value?,
+            };
+            match value {
                 Some(value) if value.revision <= after => Err(Report::new(PlatformError::Stale {
                     name: name.to_owned(),
                 })),
--- a/crates/reader/tests/platform_faults.rs
+++ b/crates/reader/tests/platform_faults.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use config::{ConfigTable, PackedValue, publish_set};
-use fakes::{Deployment, DeploymentShape, PlatformFault, PlatformStub};
+use fakes::{Deployment, DeploymentShape, DropRelay, PlatformFault, PlatformStub};
 use ids::Revision;
 use reader::{ConfigReader, HttpPlatformBuilder, PlatformError, PlatformSource, ReadOutcome};
 use test_case::test_case;
@@ -142,3 +142,30 @@
     assert!(value.unwrap().is_none());
     stub.stop().await;
 }
+
+// Guards against changes that come late because a watch, and the call after it, wait
+// for connections to the platform that have fallen silent.
+#[tokio::test]
+async fn silent_connections_replaced() {
+    let (stub, _, _) = start().await;
+    let relay = DropRelay::start().await.unwrap();
+    relay.set_target(stub.address());
+    let client = HttpPlatformBuilder::new(relay.address()).build();
+    // Leaves two connections in the pool.
+    let (first, second) = tokio::join!(client.read("changes"), client.read("changes"));
+    first.unwrap();
+    let after = second.unwrap().revision;
+    relay.silence();
+    let started = tokio::time::Instant::now();
+    let watch = client.watch("changes", after, Duration::from_millis(700));
+    let change = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        stub.publish(&values(20));
+    };
+    let (changed, ()) = tokio::join!(watch, change);
+    assert!(changed.unwrap().unwrap().revision > after);
+    let took = started.elapsed();
+    assert!(took < Duration::from_secs(2), "{took:?}");
+    relay.stop().await;
+    stub.stop().await;
+}
