Silent connections release what their requests hold

Cause: a slot is released when the body of the answer was polled to its end. While a peer takes no bytes, the HTTP server does not poll the body, so neither the stall timeout nor a deadline runs. Accepted connections had no keepalive. An ingress whose answer went to a silent connection waited to its deadline, because the egress told it each time that the request had arrived. Ruled out: a user timeout of 3 s as on opened connections. The kernel also ends a connection by it whose peer answers window probes but reads slowly, and it would put off the end of the keepalive. Change: - WatchedBody drops an answer at the time that the caller gave for it, and when no further part was read for stall_timeout_ms, by a task of its own. It starts only for answers of more than one part. The attempt carries the time; daemons of an earlier version neither send nor read it. - Accepted connections have a keepalive (peers 1 s, callers and operators 5 s, three probes), and fail when a write makes no progress for stall_timeout_ms. - An egress says in its reply to a check that it has answered. After eight such replies, about two seconds, the ingress counts the connection as silent, closes the idle ones to that peer, and ends the attempt as lost: 502 if the request must not run twice, else another attempt. The tests of hop and twelve test files of the daemon pass. In one run beside other load hop_faults::cut_answer_is_no_success failed (195 of 217 requests ran, 90% wanted); it passed in five further runs.

--- a/crates/hop/src/book.rs
+++ b/crates/hop/src/book.rs
@@ -33,9 +33,17 @@
 #[derive(Clone, Debug)]
 enum OfferEntry<W, G> {
     Waiting(W),
-    Granted { slot: G, expires_at: MonoTime },
-    Committed { retained_until: MonoTime },
-    Ended { ended_at: MonoTime },
+    Granted {
+        slot: G,
+        expires_at: MonoTime,
+    },
+    Committed {
+        retained_until: MonoTime,
+        answered: bool,
+    },
+    Ended {
+        ended_at: MonoTime,
+    },
 }
 
 /// Status of an offer at an egress.
@@ -49,6 +57,9 @@
     Granted,
     /// The request of the offer has arrived.
     Committed,
+    /// The request of the offer has arrived, and its answer was handed to the
+    /// connection that it came on.
+    Answered,
     /// The offer was refused, withdrawn or has expired; its request never runs.
     Ended,
     /// The egress restarted after it granted the offer, so the request may have
@@ -168,19 +179,33 @@
         };
         match entry.status(now) {
             OfferStatus::Granted => {}
-            OfferStatus::Committed => return Err(OfferStatus::Committed),
+            OfferStatus::Committed | OfferStatus::Answered => {
+                return Err(OfferStatus::Committed);
+            }
             other => {
                 *entry = OfferEntry::Ended { ended_at: now };
                 return Err(other);
             }
         }
         let retained_until = deadline.max(now) + RETENTION;
-        match std::mem::replace(entry, OfferEntry::Committed { retained_until }) {
+        let committed = OfferEntry::Committed {
+            retained_until,
+            answered: false,
+        };
+        match std::mem::replace(entry, committed) {
             OfferEntry::Granted { slot, .. } => Ok(slot),
             _ => Err(OfferStatus::Ended),
         }
     }
 
+    /// Records that the answer to a committed request was handed to the connection
+    /// that the request came on.
+    pub fn record_answer(&mut self, key: &OfferKey) {
+        if let Some(OfferEntry::Committed { answered, .. }) = self.offers.get_mut(key) {
+            *answered = true;
+        }
+    }
+
     /// Ends expired grants and drops their slots.
     pub fn expire(&mut self, now: MonoTime) {
         for entry in self.offers.values_mut() {
@@ -207,7 +232,7 @@
         }
         self.swept_at = now;
         self.offers.retain(|_, entry| match entry {
-            OfferEntry::Committed { retained_until } => now < *retained_until,
+            OfferEntry::Committed { retained_until, .. } => now < *retained_until,
             OfferEntry::Ended { ended_at } => now.since(*ended_at) < RETENTION,
             _ => true,
         });
@@ -220,6 +245,7 @@
         match self {
             Self::Waiting(_) => OfferStatus::Waiting,
             Self::Granted { expires_at, .. } if *expires_at > now => OfferStatus::Granted,
+            Self::Committed { answered: true, .. } => OfferStatus::Answered,
             Self::Committed { .. } => OfferStatus::Committed,
             Self::Granted { .. } | Self::Ended { .. } => OfferStatus::Ended,
         }
--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -137,6 +137,9 @@
     /// An earlier incarnation of the egress granted the offer and may have run
     /// the request.
     Restarted,
+    /// The request was committed, and its answer was handed to the connection that
+    /// it came on.
+    Answered,
 }
 
 /// A message between ingress and egress.
--- a/crates/hop/src/search.rs
+++ b/crates/hop/src/search.rs
@@ -262,7 +262,7 @@
             }
             // This search has committed no offer, so the reply refers to
             // another offer with the same id.
-            OfferReply::Committed | OfferReply::Restarted => {
+            OfferReply::Committed | OfferReply::Restarted | OfferReply::Answered => {
                 self.open.swap_remove(index);
                 self.continue_search(now, actions);
             }
--- a/crates/hop/tests/offer_book.rs
+++ b/crates/hop/tests/offer_book.rs
@@ -125,6 +125,30 @@
     );
 }
 
+// Guards against an ingress that waits to its deadline for an answer that was sent, and
+// against a copy of the request that runs after the answer.
+#[test]
+fn answer_is_reported() {
+    let mut table = granted();
+    assert_eq!(table.commit(at(25), &key(1), at(1_000)), Ok(7));
+    table.record_answer(&key(1));
+    assert_eq!(
+        table.check(at(30), key(1), INCARNATION),
+        OfferStatus::Answered
+    );
+    assert_eq!(
+        table.commit(at(31), &key(1), at(1_000)),
+        Err(OfferStatus::Committed)
+    );
+    assert_eq!(
+        table.withdraw(at(32), key(1)),
+        OfferStatus::Answered,
+        "a withdrawal does not end what has run"
+    );
+    table.record_answer(&key(2));
+    assert_eq!(table.len(), 1);
+}
+
 /// Operation on the table.
 #[derive(Clone, Debug)]
 enum Step {
--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -40,6 +40,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time limit of the checks on a request whose connection was lost.
 const LOST_CHECK_TIMEOUT: Duration = Duration::from_millis(120);
+/// Number of replies that a request is answered, one per check, after which its
+/// connection counts as silent. A busy machine or a lost packet can delay the
+/// answer itself by more than a second.
+const MAX_ANSWERED_CHECKS: u32 = 8;
 /// Number of checks without a reply after which an attempt of an idempotent
 /// request counts as stalled. A request whose connection was lost is checked as
 /// often.
@@ -202,7 +206,9 @@
     /// Returns the metadata that is sent to the egress with the request.
     fn attempt(&self, slot: &GrantedSlot) -> Attempt {
         let account = self.options().account.as_ref();
-        let remaining = self.ingress.clock.until(self.options().deadline);
+        let clock = self.ingress.clock;
+        let remaining = clock.until(self.options().deadline);
+        let body_deadline = self.options().body_deadline;
         Attempt {
             request: self.source.number,
             from: self.ingress.view.vm.clone(),
@@ -214,6 +220,7 @@
             remaining_us: remaining.as_micros() as u64,
             slow_limit_us: self.pool.slow_limit_us.load(Ordering::Relaxed),
             target_hash: self.source.target_hash(),
+            answer_us: body_deadline.map(|end| clock.until(end).as_micros() as u64),
         }
     }
 
@@ -238,6 +245,7 @@
         let is_peer = server.connections.is_some();
         let mut check_at = self.ingress.clock.now() + CHECK_INTERVAL;
         let mut checks_without_reply = 0;
+        let mut answered_checks = 0;
         let result = loop {
             tokio::select! {
                 biased;
@@ -247,6 +255,13 @@
                         return AttemptResult::Ended(AttemptEnd::Unavailable, Some(reason));
                     }
                     OfferReply::Committed if id == slot.offer => checks_without_reply = 0,
+                    OfferReply::Answered if id == slot.offer => {
+                        checks_without_reply = 0;
+                        answered_checks += 1;
+                        if answered_checks == MAX_ANSWERED_CHECKS {
+                            return self.silent_connection(server);
+                        }
+                    }
                     OfferReply::Restarted if id == slot.offer => {
                         return self.restarted(slot);
                     }
@@ -299,7 +314,9 @@
                         OfferReply::Refused(reason, _) if id == slot.offer => {
                             return AttemptResult::Ended(AttemptEnd::Unavailable, Some(reason));
                         }
-                        OfferReply::Committed if id == slot.offer => return lost,
+                        OfferReply::Committed | OfferReply::Answered if id == slot.offer => {
+                            return lost;
+                        }
                         OfferReply::Restarted if id == slot.offer => return self.restarted(slot),
                         _ => {}
                     },
@@ -318,6 +335,17 @@
         AttemptResult::Ended(AttemptEnd::Lost, None)
     }
 
+    /// Ends an attempt whose answer was sent, but does not arrive. Other idle
+    /// connections to the peer may be silent as well, so they are closed.
+    fn silent_connection(&self, server: &ServerState) -> AttemptResult {
+        let trace = &self.options().trace;
+        trace.record_step(&server.backend.id, "connection silent");
+        if let Some(connections) = &server.connections {
+            connections.close_idle();
+        }
+        AttemptResult::Ended(AttemptEnd::Lost, None)
+    }
+
     /// Sleeps until `time`.
     async fn sleep_until(&self, time: MonoTime) {
         tokio::time::sleep_until(self.ingress.clock.instant(time)).await;
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -286,7 +286,7 @@
             OfferReply::Waiting(_) => {}
             OfferReply::Granted(_) => trace.record_step(server, "granted"),
             OfferReply::Refused(reason, _) => trace.record_step(server, reason),
-            OfferReply::Committed | OfferReply::Restarted => {}
+            OfferReply::Committed | OfferReply::Restarted | OfferReply::Answered => {}
         }
         match reply {
             OfferReply::Waiting(load) => choice.server.record_load(load, 0),
@@ -301,7 +301,10 @@
                 let mut shortest = lock(&self.source.shortest_wait);
                 *shortest = Some(shortest.map_or(wait, |other| other.min(wait)));
             }
-            OfferReply::Granted(_) | OfferReply::Committed | OfferReply::Restarted => {}
+            OfferReply::Granted(_)
+            | OfferReply::Committed
+            | OfferReply::Restarted
+            | OfferReply::Answered => {}
         }
     }
 
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -27,6 +27,7 @@
     gate::RateLimiter,
     hop::HopTransport,
     ingress::Ingress,
+    link::KEEPALIVE_INTERVAL,
     listener::{HttpListener, ListenerLimits},
     metrics::MetricSet,
     peer::PeerHandler,
@@ -45,6 +46,10 @@
 const MAX_ADMIN_CONNECTIONS: usize = 64;
 /// Time that a connection from a peer may be idle between requests.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
+/// Idle time before the first keepalive probe of a caller's connection, and the
+/// interval between probes. It is longer than that of peers, since callers may
+/// leave thousands of connections idle.
+const CALLER_KEEPALIVE: Duration = Duration::from_secs(5);
 /// Interval between checks of whether the egress has finished its requests.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of further ports that are tried if the system chooses the peer port.
@@ -172,6 +177,8 @@
             connections: budgets.connections,
             head_bytes: budgets.head_bytes,
             head_timeout: budgets.head_timeout(),
+            keepalive: CALLER_KEEPALIVE,
+            write_timeout: budgets.stall_timeout(),
             adds_date: true,
         };
         let peer_limits = ListenerLimits {
@@ -179,6 +186,8 @@
             // The head of an attempt holds metadata beside the caller's head.
             head_bytes: budgets.head_bytes + 8_192,
             head_timeout: PEER_IDLE_TIMEOUT,
+            keepalive: KEEPALIVE_INTERVAL,
+            write_timeout: budgets.stall_timeout(),
             // The ingress adds the date if the backend server gave none.
             adds_date: false,
         };
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -14,6 +14,7 @@
     body::{BodyEnd, ObservedBody, ProxyBody, TimeoutBody},
     edge::{AnswerKind, DispatchMetadata, shed_backoff},
     link::{SendError, forbid_reuse},
+    watch::{BodyLimits, WatchedBody},
     wire::{Attempt, EgressOutcome, EgressReport, NotRun},
 };
 
@@ -31,6 +32,7 @@
     ) -> EgressAnswer {
         held.ticket.sent = true;
         let started = self.clock.now();
+        let body_deadline = attempt.answer_remaining().map(|left| started + left);
         let request = self.build_request(attempt, request, deadline);
         let request_id = self.codec.request_id(request.headers());
         self.evidence.recent().record(started, &attempt.from);
@@ -52,7 +54,12 @@
                 match kind {
                     AnswerKind::Answer => {
                         let response = Response::from_parts(head, body);
-                        self.forward_answer(response, service, overdue, held)
+                        let limits = BodyLimits {
+                            server: self.id.clone(),
+                            unread: self.stall_timeout,
+                            deadline: body_deadline.map(|end| self.clock.instant(end)),
+                        };
+                        self.forward_answer(response, limits, service, overdue, held)
                     }
                     AnswerKind::NotRun(reason) => self.handle_rejection(reason),
                     AnswerKind::Foreign => {
@@ -186,10 +193,11 @@
     }
 
     /// Records an answer and forwards it. The slot is released when the body of
-    /// the answer has ended.
+    /// the answer has ended, or at its limits if it is not read in time.
     fn forward_answer(
         self: &Arc<Self>,
         response: Response<ProxyBody>,
+        limits: BodyLimits,
         service: Duration,
         overdue: bool,
         mut held: HeldSlot,
@@ -226,12 +234,13 @@
             drop(held);
         };
         let stall = self.stall_timeout;
-        let response = response.map(|body| {
-            let body = match body.is_end_stream() {
-                true => body,
-                false => TimeoutBody::new(body, stall).boxed_unsync(),
-            };
-            ObservedBody::new(body, on_end).boxed_unsync()
+        let response = response.map(|body| match body.is_end_stream() {
+            true => ObservedBody::new(body, on_end).boxed_unsync(),
+            false => {
+                let body = TimeoutBody::new(body, stall).boxed_unsync();
+                let body = ObservedBody::new(body, on_end).boxed_unsync();
+                WatchedBody::new(body, limits, Arc::clone(&self.tasks)).boxed_unsync()
+            }
         });
         EgressAnswer {
             report,
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -128,6 +128,7 @@
                     .check(now, offer_key(from, offer), incarnation);
                 let reply = match status {
                     OfferStatus::Committed => OfferReply::Committed,
+                    OfferStatus::Answered => OfferReply::Answered,
                     OfferStatus::Restarted => OfferReply::Restarted,
                     _ => OfferReply::Refused(NotRun::Lapsed, ServerLoad::default()),
                 };
@@ -165,7 +166,7 @@
             }
             OfferStatus::Waiting => OfferReply::Waiting(load()),
             OfferStatus::Granted => OfferReply::Granted(self.incarnation),
-            OfferStatus::Committed => OfferReply::Committed,
+            OfferStatus::Committed | OfferStatus::Answered => OfferReply::Committed,
             OfferStatus::Restarted => OfferReply::Restarted,
             OfferStatus::Ended => OfferReply::Refused(NotRun::Lapsed, load()),
         };
@@ -263,7 +264,13 @@
             return misdirected();
         };
         match committed {
-            Ok(held) => server.dispatch(attempt, request, deadline, held).await,
+            Ok(held) => {
+                let answer = server.dispatch(attempt, request, deadline, held).await;
+                if attempt.from != self.view.vm {
+                    self.offers().record_answer(&key);
+                }
+                answer
+            }
             // The request arrived twice, and the other copy runs.
             Err(OfferStatus::Committed) => server.without_answer(EgressOutcome::Lost),
             Err(_) => server.not_run(NotRun::Lapsed),
@@ -417,6 +424,7 @@
             evidence: ServerEvidence::new(self.incarnation.0),
             control: self.control.clone(),
             stall_timeout: self.stall_timeout,
+            tasks: Arc::clone(&self.tasks),
             replaced_until: AtomicU64::new(0),
             loaded_until: AtomicU64::new(0),
         }
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -28,6 +28,7 @@
     edge::EdgeCodec,
     evidence::ServerEvidence,
     link::ConnectionPool,
+    task::TaskGroup,
     wire::{EgressOutcome, EgressReport, NotRun},
 };
 
@@ -65,6 +66,8 @@
     pub(super) calls: Arc<Mutex<FailedCalls>>,
     pub(super) control: ControlSender,
     pub(super) stall_timeout: Duration,
+    /// Tasks that watch the bodies of answers.
+    pub(super) tasks: Arc<TaskGroup>,
     /// End of the time for which another server is assumed at the address.
     pub(super) replaced_until: AtomicU64,
     /// End of the time for which the server counts as loaded, as its load endpoint
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -233,6 +233,7 @@
                 deadline.min(started + Duration::from_millis(u64::from(millis)))
             }),
             deadline,
+            body_deadline,
             started,
         };
         let run = RequestRun::new(self, context.pool, head, body, replay, options);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -35,7 +35,9 @@
 mod task;
 mod trail;
 mod view;
+mod watch;
 mod wire;
+mod write_limit;
 
 pub use answer::Refusal;
 pub use daemon::{Daemon, DaemonAddresses, DaemonBuilder, DaemonError};
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -23,7 +23,9 @@
 use crate::{
     body::ProxyBody,
     ledger::{MeteredStream, StreamMeter},
+    link::detect_dead_caller,
     task::{StopSignal, TaskGroup},
+    write_limit::LimitedWriter,
 };
 
 /// Pause after an accept that failed, for example because the process has no
@@ -46,6 +48,11 @@
     /// Maximum time until the head of a request is complete, which is also the
     /// maximum time that a connection may be idle.
     pub head_timeout: Duration,
+    /// Idle time before the first TCP keepalive probe, and the interval between
+    /// probes.
+    pub keepalive: Duration,
+    /// Maximum time for which the peer takes no byte of an answer.
+    pub write_timeout: Duration,
     /// Whether answers without a date get one.
     pub adds_date: bool,
 }
@@ -97,7 +104,7 @@
         loop {
             let stopping = stop.clone();
             tokio::select! {
-                accepted = accept(&self.listener, &permits) => {
+                accepted = accept(&self.listener, &permits, self.limits.keepalive) => {
                     let Some((stream, permit)) = accepted else {
                         tokio::time::sleep(ACCEPT_PAUSE).await;
                         continue;
@@ -113,7 +120,9 @@
             }
         }
         // Connections that wait to be accepted would be reset with the listener.
-        while let Some((stream, permit)) = accept(&self.listener, &permits).now_or_never().flatten()
+        while let Some((stream, permit)) = accept(&self.listener, &permits, self.limits.keepalive)
+            .now_or_never()
+            .flatten()
         {
             let handler = handler.clone();
             let (limits, stopping) = (self.limits, stop.clone());
@@ -131,10 +140,13 @@
 async fn accept(
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
+    keepalive: Duration,
 ) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
     let permit = Arc::clone(permits).acquire_owned().await.ok()?;
     let (stream, _) = listener.accept().await.ok()?;
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = detect_dead_caller(&stream, keepalive) {
+        log::debug!("listener: can't set options of a connection: {error}.");
+    }
     Some((stream, permit))
 }
 
@@ -150,6 +162,7 @@
     F: Future<Output = Response<ProxyBody>>,
 {
     let meter = Arc::new(StreamMeter::default());
+    let stream = LimitedWriter::new(stream, limits.write_timeout);
     let first_request = Notify::new();
     let requested = AtomicBool::new(false);
     let service = service_fn(|mut request: Request<Incoming>| {
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -60,6 +60,8 @@
     pub target: MonoTime,
     /// Time at which the caller gives up.
     pub deadline: MonoTime,
+    /// Time at which the body of the answer has to be complete, if it is limited.
+    pub body_deadline: Option<MonoTime>,
     /// Time at which the request arrived.
     pub started: MonoTime,
 }
--- a/crates/serve/src/wire.rs
+++ b/crates/serve/src/wire.rs
@@ -12,7 +12,7 @@
 use hop::{OfferId, ServerLoad};
 use hyper::{HeaderMap, header::HeaderName, header::HeaderValue};
 use ids::{AccountId, ServerId, ServiceId, VmId};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
 use subtle::ConstantTimeEq;
 
 /// Outcome of a request that has no answer of a backend server, for callers.
@@ -68,6 +68,20 @@
     /// Hash of the method and the target, which binds the metadata to the
     /// request.
     pub target_hash: u64,
+    /// Time left until the body of the answer has to be complete, in
+    /// microseconds; `None` if only its progress is limited.
+    #[serde(deserialize_with = "decode_last")]
+    pub answer_us: Option<u64>,
+}
+
+/// Decodes a field that daemons of an earlier version do not send; it is `None`
+/// in their attempts. Only the last field of a value can be decoded like this.
+fn decode_last<'de, D, T>(decoder: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    Ok(Option::deserialize(decoder).unwrap_or(None))
 }
 
 impl Attempt {
@@ -75,6 +89,12 @@
     pub fn remaining(&self) -> Duration {
         Duration::from_micros(self.remaining_us)
     }
+
+    /// Returns the time left until the body of the answer has to be complete, if
+    /// there is a limit.
+    pub fn answer_remaining(&self) -> Option<Duration> {
+        self.answer_us.map(Duration::from_micros)
+    }
 }
 
 /// Outcome of an attempt at the egress.
