No request waits on a connection for another request's body

Cause: the pool took a connection back when its answer had ended, also while the body of its request was still being sent. The next request waited there for the connection without a limit, and after its last check that the server may be used. Change: - A connection returns to the pool only when it is ready for a request; if it is not when the answer ends, a task waits for that. - A request waits at most 500 ms for a connection to be ready, then opens a new one; if that is not ready either, the request counts as not sent. - When the connection is ready, the egress checks once more that its server is still listed and has not said that it leaves. If not, the request is refused as not run and goes back to the search. A slot whose request was not sent is released as unused.

--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -285,7 +285,7 @@
                 channel.withdraw(&server.backend.vm, slot.offer);
                 AttemptResult::Ended(AttemptEnd::Unsent, Some(NotRun::Overloaded))
             }
-            Err(SendError::Unsent(_)) => {
+            Err(SendError::Unsent(_) | SendError::Withheld) => {
                 channel.withdraw(&server.backend.vm, slot.offer);
                 self.report_unreachable(server);
                 AttemptResult::Ended(AttemptEnd::Unsent, Some(NotRun::Unreachable))
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -73,8 +73,16 @@
                     }
                 }
             }
-            Some(Err(SendError::Full)) => self.not_run(NotRun::Overloaded),
+            Some(Err(SendError::Full)) => {
+                held.ticket.sent = false;
+                self.not_run(NotRun::Overloaded)
+            }
+            Some(Err(SendError::Withheld)) => {
+                held.ticket.sent = false;
+                self.not_run(NotRun::Leaving)
+            }
             Some(Err(SendError::Unsent(_))) => {
+                held.ticket.sent = false;
                 self.record_outcome(Outcome::Lost);
                 self.record_failure(overdue);
                 self.not_run(NotRun::Unreachable)
@@ -102,7 +110,9 @@
         slow_limit: Duration,
     ) -> (Option<Result<Response<ProxyBody>, SendError>>, bool) {
         let started = self.clock.now();
-        let sent = self.connections.send(request);
+        // The server may have begun to leave while the request was on its way or
+        // waited for a connection.
+        let sent = self.connections.send_if(request, || !self.is_withdrawn());
         tokio::pin!(sent);
         // Times at which the request counts as slow and then as stuck. The next
         // one is last.
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -309,6 +309,7 @@
         for (id, server) in self.servers.load().iter() {
             match table.server(id) {
                 Some(backend) if backend.vm == self.view.vm => {
+                    server.unlisted.store(false, Ordering::Release);
                     server.resize(backend.slots);
                     // An earlier configuration may have lacked the server.
                     match self.is_draining() || server.is_leaving() {
@@ -317,6 +318,7 @@
                     }
                 }
                 _ => {
+                    server.unlisted.store(true, Ordering::Release);
                     server.forget_leaving();
                     server.handle(QueueEvent::Drain);
                 }
@@ -402,6 +404,7 @@
         }
         EgressServer {
             slots: AtomicU64::new(u64::from(backend.slots.get())),
+            unlisted: AtomicBool::new(false),
             connections: ConnectionPool::new(
                 backend.address,
                 limit,
--- a/crates/serve/src/egress/notice.rs
+++ b/crates/serve/src/egress/notice.rs
@@ -1,7 +1,7 @@
 //! What a backend server of this VM says about itself, and what follows for its
 //! queue.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use admit::QueueEvent;
 use hop::ServerNotice;
@@ -105,6 +105,12 @@
         self.known_notice().at(self.clock.now()).leaving
     }
 
+    /// Whether the server must get no request any more: it is no longer listed, or
+    /// has said that it is leaving.
+    pub(super) fn is_withdrawn(&self) -> bool {
+        self.unlisted.load(Ordering::Acquire) || self.is_leaving()
+    }
+
     /// Forgets that the server was leaving, since it is no longer listed. If it
     /// comes back, it is another start of it.
     pub(super) fn forget_leaving(&self) {
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -4,7 +4,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -49,6 +49,8 @@
 #[derive(Debug)]
 pub(super) struct EgressServer {
     pub(super) slots: AtomicU64,
+    /// Whether the table in force no longer lists the server.
+    pub(super) unlisted: AtomicBool,
     pub(super) connections: Arc<ConnectionPool>,
     pub(super) clock: MonoClock,
     pub(super) state: Mutex<QueueState>,
--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection returns to the pool only after the answer on it was read to
 //! its end. Otherwise it is closed, so a late answer cannot be taken for the
-//! answer to the next request.
+//! answer to the next request. An answer may come before the body of its request
+//! was sent; the connection returns only after that, too.
 
 use std::{
     fmt, io,
@@ -38,6 +39,9 @@
 /// Timeout for opening a connection. Opening takes about 1 ms on the networks
 /// that a fleet runs on, and a lost SYN is repeated after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Maximum time until a connection that was idle or has just been opened accepts
+/// a request. It only has to be scheduled for that.
+const READY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time before the first TCP keepalive probe, and the interval between
 /// probes.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -63,6 +67,8 @@
     Full,
     /// No byte of the request was sent.
     Unsent(String),
+    /// No byte of the request was sent, because it must not be sent any more.
+    Withheld,
     /// The request may have reached the other side.
     Lost(String),
 }
@@ -74,6 +80,7 @@
                 f.write_str("all connections to the address are in use; raise `connections`")
             }
             Self::Unsent(cause) => write!(f, "request not sent: {cause}"),
+            Self::Withheld => f.write_str("request withheld: the receiver gets no new requests"),
             Self::Lost(cause) => write!(
                 f,
                 "connection lost, the request may have been sent: {cause}"
@@ -180,24 +187,46 @@
     pub async fn send(
         self: &Arc<Self>,
         request: Request<ProxyBody>,
+    ) -> Result<Response<ProxyBody>, SendError> {
+        self.send_if(request, || true).await
+    }
+
+    /// Sends a request like [`ConnectionPool::send`], if `may_send` still holds once
+    /// a connection is ready for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`ConnectionPool::send`], and [`SendError::Withheld`] if
+    /// `may_send` does not hold.
+    pub async fn send_if(
+        self: &Arc<Self>,
+        request: Request<ProxyBody>,
+        may_send: impl Fn() -> bool,
     ) -> Result<Response<ProxyBody>, SendError> {
         let mut request = request;
         while let Some(connection) = self.take_idle() {
-            match self.send_on(connection, request).await {
+            match self.send_on(connection, request, &may_send).await {
                 Ok(response) => return Ok(response),
-                Err(SendFailure::Lost(cause)) => return Err(SendError::Lost(cause)),
+                Err(SendFailure::Final(error)) => return Err(error),
                 // The other side closed the idle connection before any of the
                 // request was sent, so the request can use another connection.
                 Err(SendFailure::Returned(returned)) => request = *returned,
+                Err(SendFailure::NotReady(returned)) => {
+                    request = *returned;
+                    break;
+                }
             }
         }
         let connection = self.connect().await?;
-        match self.send_on(connection, request).await {
+        match self.send_on(connection, request, &may_send).await {
             Ok(response) => Ok(response),
-            Err(SendFailure::Lost(cause)) => Err(SendError::Lost(cause)),
+            Err(SendFailure::Final(error)) => Err(error),
             Err(SendFailure::Returned(_)) => Err(SendError::Unsent(
                 "the new connection was closed at once".to_owned(),
             )),
+            Err(SendFailure::NotReady(_)) => Err(SendError::Unsent(
+                "the new connection is not ready".to_owned(),
+            )),
         }
     }
 
@@ -242,6 +271,16 @@
         None
     }
 
+    /// Adds a connection that is ready for a request to the idle ones, or closes it if
+    /// there are enough of them.
+    fn put_idle(&self, mut connection: IdleConnection) {
+        connection.last_used = Instant::now();
+        let mut idle = self.lock_idle();
+        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
+            idle.push(connection);
+        }
+    }
+
     /// Opens a connection if the limit of the pool allows it.
     async fn connect(&self) -> Result<IdleConnection, SendError> {
         let open = self.open.fetch_add(1, Ordering::AcqRel);
@@ -281,21 +320,28 @@
         self: &Arc<Self>,
         mut connection: IdleConnection,
         request: Request<ProxyBody>,
+        may_send: impl Fn() -> bool,
     ) -> Result<Response<ProxyBody>, SendFailure> {
-        if connection.sender.ready().await.is_err() {
-            return Err(SendFailure::Returned(Box::new(request)));
+        match timeout(READY_TIMEOUT, connection.sender.ready()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return Err(SendFailure::Returned(Box::new(request))),
+            Err(_) => return Err(SendFailure::NotReady(Box::new(request))),
+        }
+        if !may_send() {
+            self.put_idle(connection);
+            return Err(SendFailure::Final(SendError::Withheld));
         }
         match connection.sender.try_send_request(request).await {
             Ok(response) if is_close_delimited(&response) => {
                 self.warn_no_length();
-                Err(SendFailure::Lost(
-                    "the answer has neither Content-Length nor chunks".to_owned(),
+                Err(SendFailure::lost(
+                    "the answer has neither Content-Length nor chunks",
                 ))
             }
             Ok(response) => Ok(self.reuse_after_body(connection, response)),
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendFailure::Returned(Box::new(request))),
-                None => Err(SendFailure::Lost(error.into_error().to_string())),
+                None => Err(SendFailure::lost(error.into_error())),
             },
         }
     }
@@ -366,10 +412,20 @@
 
 /// Reason why a connection gave no answer.
 enum SendFailure {
-    /// The request was not sent and is returned.
+    /// The request was not sent and is returned; another connection may take it.
     Returned(Box<Request<ProxyBody>>),
-    /// The request may have been sent.
-    Lost(String),
+    /// The request was not sent and is returned; the connection was not ready for it
+    /// in time, which others may not be either.
+    NotReady(Box<Request<ProxyBody>>),
+    /// The request gets no answer.
+    Final(SendError),
+}
+
+impl SendFailure {
+    /// Returns the failure of a request that may have been sent.
+    fn lost(cause: impl fmt::Display) -> Self {
+        Self::Final(SendError::Lost(cause.to_string()))
+    }
 }
 
 /// Whether the body of the answer ends where the connection is closed (RFC 9112,
@@ -382,18 +438,23 @@
 }
 
 /// Puts a connection back into the pool after a complete answer, and closes it
-/// otherwise.
+/// otherwise. While the body of the request is still being sent, the connection
+/// stays out of the pool: the next request would wait on it for that.
 fn return_to_pool(pool: &Weak<ConnectionPool>, mut connection: IdleConnection, end: BodyEnd) {
-    connection.last_used = Instant::now();
     let Some(pool) = pool.upgrade() else {
         return;
     };
-    let mut idle = pool.lock_idle();
     match end {
-        BodyEnd::Complete
-            if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() =>
-        {
-            idle.push(connection)
+        BodyEnd::Complete if connection.sender.is_ready() => pool.put_idle(connection),
+        BodyEnd::Complete => {
+            let weak_pool = Arc::downgrade(&pool);
+            pool.tasks.spawn(async move {
+                if connection.sender.ready().await.is_ok()
+                    && let Some(pool) = weak_pool.upgrade()
+                {
+                    pool.put_idle(connection);
+                }
+            });
         }
         _ => drop(connection),
     }
--- a/crates/serve/src/probe.rs
+++ b/crates/serve/src/probe.rs
@@ -90,7 +90,7 @@
         Ok(Ok(response)) if age_s(&response) > MAX_ANSWER_AGE_S => ProbeResult::Inconclusive,
         Ok(Ok(response)) => ProbeResult::Answered(Box::new(response)),
         Ok(Err(SendError::Unsent(_))) => ProbeResult::Refused,
-        Ok(Err(SendError::Full)) => ProbeResult::Inconclusive,
+        Ok(Err(SendError::Full | SendError::Withheld)) => ProbeResult::Inconclusive,
         Ok(Err(SendError::Lost(_))) | Err(_) => ProbeResult::Missing,
     }
 }
