A stopped process ends before its grace period is over

Causes: - What follows the abort of the last requests, 400 ms before the end, may take longer: the end of the tasks, the drop of the runtime and up to 300 ms for the log while nobody reads it. - The worker thread reads the signals. Change: a thread with a runtime of its own waits for the signal, and exits 250 ms before the end of the grace period if the process is still there. Test: stop_time::process_ends_within_grace, with a twentieth of a core, a hung request and a log that nobody reads.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -370,6 +370,12 @@
         &self.view
     }
 
+    /// Returns a function that tells the maximum time that a graceful stop takes.
+    pub fn grace(&self) -> impl Fn() -> Duration + Send + use<> {
+        let settings = Arc::clone(&self.settings);
+        move || settings.load().budgets.grace()
+    }
+
     /// Puts changed settings in force as far as that needs no restart. Returns
     /// the names of the changed fields that need one.
     pub fn reload(&self, newer: &Settings) -> Vec<&'static str> {
--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     args::RunOptions,
-    process::{DaemonProcess, FreeAddresses},
+    process::{DaemonProcess, FreeAddresses, GRACE_S},
 };
 
 /// Secret that all daemons share.
@@ -152,6 +152,7 @@
             self.platform.address(),
             SECRET,
             Stdio::from(file),
+            GRACE_S,
         ));
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 mod flags;
 mod logs;
 mod run;
+mod stop_limit;
 mod trial;
 
 use std::process::ExitCode;
--- a/src/run.rs
+++ b/src/run.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     commands::{CommandError, read_text, start_runtime},
-    logs,
+    logs, stop_limit,
 };
 
 /// Interval at which the settings file is checked for changes, since it may
@@ -144,6 +144,7 @@
     let builder = DaemonBuilder::bind(settings)
         .map_err(|report| CommandError::other(report.current_context()))?;
     let daemon = builder.start_with(Arc::clone(&adapters.feed), Arc::clone(&adapters.codec));
+    stop_limit::start(daemon.grace())?;
     let addresses = daemon.addresses();
     log::info!(
         "serve: listening for callers on {}, for peers on {} and for operators on {}.",
--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -16,6 +16,9 @@
     rt::TokioExecutor,
 };
 
+/// Default of the grace period, in seconds.
+pub const GRACE_S: u64 = 600;
+
 /// Daemon that runs as a separate process and is killed on drop.
 pub struct DaemonProcess {
     child: Child,
@@ -83,10 +86,12 @@
         platform: SocketAddr,
         secret: &str,
     ) -> Self {
-        Self::start_logged(index, zones, addresses, platform, secret, Stdio::null())
+        let log = Stdio::null();
+        Self::start_logged(index, zones, addresses, platform, secret, log, GRACE_S)
     }
 
-    /// Starts a daemon with a settings file and writes its log lines to `log`.
+    /// Starts a daemon with a settings file and a grace period, and writes its log lines
+    /// to `log`.
     pub fn start_logged(
         index: usize,
         zones: usize,
@@ -94,11 +99,13 @@
         platform: SocketAddr,
         secret: &str,
         log: Stdio,
+        grace_s: u64,
     ) -> Self {
         let settings = format!(
             r#"{{ "vm": "vm-{index}", "zone": "zone-{}", // a comment
                 "ingress": "{}", "peer": "{}", "admin": "{}", "platform": "{platform}",
-                "secret": "{secret}", "log": {{ "level": "warn" }}, "budgets": {{ "threads": {} }} }}"#,
+                "secret": "{secret}", "log": {{ "level": "warn" }}, 
+                "budgets": {{ "threads": {}, "grace_s": {grace_s} }} }}"#,
             index % zones,
             addresses.ingress,
             addresses.peer,
