A slow reader is not taken for a silent one

Seen in a trial of: a caller that reads about 400 KB/s was cut after four megabytes with a stall timeout of 500 ms, although it took bytes all the time. Cause: the kernel reports that a socket can be written only when a third of its buffer is free. Until then the write counted as blocked. Within the fleet, what is buffered before a slow caller lets bytes through in bursts, so a body may not be read for longer. Change: a stream tries to write once more before it fails, and goes on if any byte was taken. Between daemons, and for the body of an answer at the egress, the limit is four times the stall timeout; the deadline of the request bounds its slot as before.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -37,6 +37,7 @@
     task::{StopSource, TaskGroup},
     trail::LineLimiter,
     view::FleetView,
+    watch::UNREAD_FACTOR,
     wire::HeaderSeal,
 };
 
@@ -187,7 +188,7 @@
             head_bytes: budgets.head_bytes + 8_192,
             head_timeout: PEER_IDLE_TIMEOUT,
             keepalive: KEEPALIVE_INTERVAL,
-            write_timeout: budgets.stall_timeout(),
+            write_timeout: budgets.stall_timeout() * UNREAD_FACTOR,
             // The ingress adds the date if the backend server gave none.
             adds_date: false,
         };
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -14,7 +14,7 @@
     body::{BodyEnd, ObservedBody, ProxyBody, TimeoutBody},
     edge::{AnswerKind, DispatchMetadata, shed_backoff},
     link::{SendError, forbid_reuse},
-    watch::{BodyLimits, WatchedBody},
+    watch::{BodyLimits, UNREAD_FACTOR, WatchedBody},
     wire::{Attempt, EgressOutcome, EgressReport, NotRun},
 };
 
@@ -56,7 +56,7 @@
                         let response = Response::from_parts(head, body);
                         let limits = BodyLimits {
                             server: self.id.clone(),
-                            unread: self.stall_timeout,
+                            unread: self.stall_timeout * UNREAD_FACTOR,
                             deadline: body_deadline.map(|end| self.clock.instant(end)),
                         };
                         self.forward_answer(response, limits, service, overdue, held)
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -205,7 +205,7 @@
     /// Maximum time until the head of a request is complete, in milliseconds.
     pub head_timeout_ms: u64,
     /// Time without any data after which a body counts as broken, in
-    /// milliseconds. The same holds for an answer that its reader does not take.
+    /// milliseconds. The same holds for an answer of which its reader takes no byte.
     pub stall_timeout_ms: u64,
     /// Maximum time that requests in flight get to finish at shutdown, in
     /// seconds.
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -25,6 +25,11 @@
     task::TaskGroup,
 };
 
+/// Ratio of the time for which the body of an answer may not be read within the fleet to
+/// the stall timeout. A caller that reads slowly takes bytes all the time, but what is
+/// buffered before it lets them through in bursts.
+pub const UNREAD_FACTOR: u32 = 4;
+
 /// Limits of a body that a backend server sends.
 #[derive(Clone, Debug)]
 pub struct BodyLimits {
--- a/crates/serve/src/write_limit.rs
+++ b/crates/serve/src/write_limit.rs
@@ -3,11 +3,13 @@
 use std::{
     future::Future,
     io,
+    os::fd::AsFd,
     pin::Pin,
     task::{Context, Poll},
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     time::{Sleep, sleep},
@@ -17,7 +19,9 @@
 /// for a time.
 ///
 /// The kernel closes such a connection only if the peer's machine is gone, and
-/// only after many minutes.
+/// only after many minutes. It reports that a socket can be written only when a
+/// third of its buffer is free, so a slow peer may take bytes without a report: the
+/// stream tries to write once more before it fails.
 #[derive(Debug)]
 pub struct LimitedWriter<S> {
     stream: S,
@@ -26,7 +30,7 @@
     blocked: Option<Pin<Box<Sleep>>>,
 }
 
-impl<S> LimitedWriter<S> {
+impl<S: AsFd> LimitedWriter<S> {
     /// Creates a stream that fails when a write has made no progress for `limit`.
     pub fn new(stream: S, limit: Duration) -> Self {
         Self {
@@ -36,11 +40,12 @@
         }
     }
 
-    /// Starts, polls or ends the timer as the result of a write demands.
+    /// Starts, polls or ends the timer as the result of a write of `bytes` demands.
     fn limit_write(
         &mut self,
         context: &mut Context<'_>,
         written: Poll<io::Result<usize>>,
+        bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         if written.is_ready() {
             self.blocked = None;
@@ -48,14 +53,19 @@
         }
         let limit = self.limit;
         let timer = self.blocked.get_or_insert_with(|| Box::pin(sleep(limit)));
-        timer
-            .as_mut()
-            .poll(context)
-            .map(|()| Err(io::Error::from(io::ErrorKind::TimedOut)))
+        if timer.as_mut().poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        self.blocked = None;
+        let sent = SockRef::from(&self.stream).send(bytes);
+        Poll::Ready(sent.map_err(|error| match error.kind() {
+            io::ErrorKind::WouldBlock => io::Error::from(io::ErrorKind::TimedOut),
+            _ => error,
+        }))
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for LimitedWriter<S> {
+impl<S: AsyncRead + AsFd + Unpin> AsyncRead for LimitedWriter<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -65,14 +75,14 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedWriter<S> {
+impl<S: AsyncWrite + AsFd + Unpin> AsyncWrite for LimitedWriter<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.limit_write(context, written)
+        self.limit_write(context, written, bytes)
     }
 
     fn poll_write_vectored(
@@ -81,7 +91,8 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.limit_write(context, written)
+        let first = slices.iter().find(|slice| !slice.is_empty());
+        self.limit_write(context, written, first.map_or(&[], |slice| slice))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/hop_faults.rs
+++ b/tests/hop_faults.rs
@@ -9,7 +9,9 @@
 use config::Record;
 use fakes::{Behaviour, DropRelay};
 use harness::{Answer, Fleet, FleetShape};
+use hop::OfferId;
 use hyper::{Method, StatusCode};
+use serve::{Attempt, HeaderSeal};
 use test_case::test_case;
 
 /// Deadline of the service, in milliseconds. It is long enough for a hop that
@@ -233,3 +235,41 @@
     fleet.stop().await;
     relay.stop().await;
 }
+
+// Guards against attempts of daemons of an earlier version, which lack the last field, that
+// are refused while a mixed fleet lasts.
+#[test]
+fn earlier_attempt_is_read() {
+    let seal = HeaderSeal::new(b"a secret for tests only");
+    let attempt = Attempt {
+        request: 7,
+        from: "vm-0".parse().unwrap(),
+        offer: OfferId(3),
+        server: "plans-1".parse().unwrap(),
+        account: None,
+        caller_service: None,
+        idempotent: true,
+        remaining_us: 1_000,
+        slow_limit_us: 0,
+        target_hash: 9,
+        answer_us: None,
+    };
+    let earlier = (
+        attempt.request,
+        &attempt.from,
+        attempt.offer,
+        &attempt.server,
+        &attempt.account,
+        &attempt.caller_service,
+        attempt.idempotent,
+        attempt.remaining_us,
+        attempt.slow_limit_us,
+        attempt.target_hash,
+    );
+    assert_eq!(seal.open(&seal.seal(&earlier)), Some(attempt.clone()));
+    let limited = Attempt {
+        answer_us: Some(500),
+        ..attempt
+    };
+    assert_eq!(seal.open(&seal.seal(&limited)), Some(limited));
+}
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -180,6 +180,28 @@
     fleet.stop().await;
 }
 
+// As above, for a caller so slow that its socket counts as blocked for longer than the stall
+// timeout: the kernel reports space only when a third of the buffer is free.
+#[tokio::test(flavor = "multi_thread")]
+async fn very_slow_reader_gets_everything() {
+    let (fleet, relay) = relayed_fleet(1, LARGE_BYTES, Duration::from_millis(500)).await;
+    let mut download = start_download(&fleet, 0, 18_000).await;
+    let mut buffer = vec![0; 32 * 1024];
+    let mut received = 0;
+    for _ in 0..60 {
+        received += download.read(&mut buffer).await.unwrap();
+        sleep(Duration::from_millis(80)).await;
+    }
+    while received < LARGE_BYTES {
+        let read = timeout(WAIT_LIMIT, download.read(&mut buffer)).await;
+        let length = read.expect("the answer must go on").unwrap();
+        assert_ne!(length, 0, "the answer was cut after {received} bytes");
+        received += length;
+    }
+    relay.stop().await;
+    fleet.stop().await;
+}
+
 /// Sends requests to the third daemon until the first backend server runs one, lets the
 /// connections to its daemon fall silent meanwhile, and returns the run id, the answer
 /// and its time.
