--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -27,7 +27,7 @@
     gate::RateLimiter,
     hop::HopTransport,
     ingress::Ingress,
-    link::KEEPALIVE_INTERVAL,
+    keepalive::KEEPALIVE_INTERVAL,
     listener::{HttpListener, ListenerLimits},
     metrics::MetricSet,
     peer::PeerHandler,
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -22,6 +22,7 @@
 mod gate;
 mod hop;
 mod ingress;
+mod keepalive;
 mod ledger;
 mod link;
 mod listener;
--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -6,7 +6,7 @@
 //! was sent; the connection returns only after that, too.
 
 use std::{
-    fmt, io,
+    fmt,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, Weak,
@@ -23,7 +23,6 @@
     http::response,
 };
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout},
@@ -31,6 +30,7 @@
 
 use crate::{
     body::{BodyEnd, ObservedBody, ProxyBody, box_body},
+    keepalive::detect_dead_peer,
     ledger::{MeteredStream, StreamMeter},
     task::TaskGroup,
 };
@@ -42,13 +42,6 @@
 /// Maximum time until a connection that was idle or has just been opened accepts
 /// a request. It only has to be scheduled for that.
 const READY_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle time before the first TCP keepalive probe, and the interval between
-/// probes.
-pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered keepalive probes after which a connection is dead.
-const KEEPALIVE_RETRIES: u32 = 3;
-/// Maximum time for which sent bytes may stay unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of idle connections that are kept for one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Maximum time that a connection stays idle before it is closed. It has to be
@@ -388,28 +381,6 @@
     }
 }
 
-/// Sets socket options by which a connection fails when its peer no longer
-/// responds. While a request waits for its answer, nothing else detects that.
-fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
-    detect_dead_caller(stream, KEEPALIVE_INTERVAL)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
-}
-
-/// Sets socket options by which a connection fails when its peer no longer
-/// answers the probes that are sent each `interval` while it is idle.
-///
-/// It sets no user timeout: that would also end the connection of a peer that is
-/// alive and reads slowly.
-pub fn detect_dead_caller(stream: &TcpStream, interval: Duration) -> io::Result<()> {
-    let keepalive = TcpKeepalive::new()
-        .with_time(interval)
-        .with_interval(interval)
-        .with_retries(KEEPALIVE_RETRIES);
-    let socket = SockRef::from(stream);
-    socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_keepalive(&keepalive)
-}
-
 /// Reason why a connection gave no answer.
 enum SendFailure {
     /// The request was not sent and is returned; another connection may take it.
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -22,8 +22,8 @@
 
 use crate::{
     body::ProxyBody,
+    keepalive::detect_dead_caller,
     ledger::{MeteredStream, StreamMeter},
-    link::detect_dead_caller,
     task::{StopSignal, TaskGroup},
     write_limit::LimitedWriter,
 };
