A repeated SIGTERM does not cut a graceful stop short

Callers saw the connections of all requests in flight close without an answer when a process got a second SIGTERM within its grace period: run_daemon raced the stop against any further SIGTERM or SIGINT. Platforms repeat SIGTERM and end a process by SIGKILL only after the grace period, whereas a person at a terminal presses Ctrl-C twice. Only a second SIGINT ends the process at once now. Ignoring every further signal was ruled out: it would leave a person with SIGKILL alone.

--- a/src/run.rs
+++ b/src/run.rs
@@ -83,15 +83,36 @@
         })
     }
 
-    /// Waits for SIGTERM or SIGINT.
-    async fn wait_for_end(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+    /// Waits until a graceful stop is to be cut short: until the second SIGINT.
+    ///
+    /// Platforms may repeat SIGTERM within the grace period, and end the process by
+    /// SIGKILL. A person at a terminal expects a second Ctrl-C to end it at once.
+    async fn wait_for_abort(&mut self, first: EndSignal) {
+        let interrupts = match first {
+            EndSignal::Interrupt => 1,
+            EndSignal::Terminate => 2,
+        };
+        let mut received = 0;
+        while received < interrupts {
+            tokio::select! {
+                _ = self.interrupt.recv() => received += 1,
+                _ = self.terminate.recv() => {
+                    log::info!("serve: another SIGTERM received, the stop continues.");
+                }
+            }
         }
     }
 }
 
+/// Signal that begins a graceful stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum EndSignal {
+    /// SIGTERM.
+    Terminate,
+    /// SIGINT.
+    Interrupt,
+}
+
 /// Configuration feed and header codec selected by the settings.
 struct EdgeAdapters {
     feed: Arc<dyn ConfigFeed>,
@@ -137,7 +158,7 @@
 }
 
 /// Runs a daemon until SIGTERM or SIGINT, then stops it gracefully; a second
-/// signal ends it at once.
+/// SIGINT ends it at once.
 async fn run_daemon(settings: Settings, mut file: SettingsFile) -> Result<(), CommandError> {
     let mut signals = Signals::new()?;
     let adapters = EdgeAdapters::new(&settings);
@@ -151,32 +172,32 @@
         addresses.peer,
         addresses.admin
     );
-    watch_settings(&daemon, &adapters, &mut file, &mut signals).await;
+    let first = watch_settings(&daemon, &adapters, &mut file, &mut signals).await;
     log::info!(
         "serve: SIGTERM or SIGINT received, stopping; requests may finish within the grace period."
     );
     tokio::select! {
         () = daemon.stop() => log::info!("serve: the daemon has stopped."),
-        () = signals.wait_for_end() => log::warn!(
-            "serve: second SIGTERM or SIGINT received, aborting the remaining requests."
+        () = signals.wait_for_abort(first) => log::warn!(
+            "serve: second SIGINT received, aborting the remaining requests."
         ),
     }
     Ok(())
 }
 
-/// Reloads changed settings until SIGTERM or SIGINT.
+/// Reloads changed settings until SIGTERM or SIGINT, which is returned.
 async fn watch_settings(
     daemon: &Daemon,
     adapters: &EdgeAdapters,
     file: &mut SettingsFile,
     signals: &mut Signals,
-) {
+) -> EndSignal {
     let mut checks = tokio::time::interval(CHECK_INTERVAL);
     checks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = signals.terminate.recv() => return,
-            _ = signals.interrupt.recv() => return,
+            _ = signals.terminate.recv() => return EndSignal::Terminate,
+            _ = signals.interrupt.recv() => return EndSignal::Interrupt,
             _ = signals.hangup.recv() => log::info!(
                 "serve: SIGHUP received, checking the settings file for changes."
             ),
--- a/tests/separate_processes.rs
+++ b/tests/separate_processes.rs
@@ -11,7 +11,9 @@
 };
 
 use config::publish_set;
-use fakes::{BackendStub, Deployment, DeploymentShape, PlatformStub, RUN_HEADER, ServiceShape};
+use fakes::{
+    BackendStub, Behaviour, Deployment, DeploymentShape, PlatformStub, RUN_HEADER, ServiceShape,
+};
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode, body::Bytes};
 use hyper_util::{
@@ -224,6 +226,42 @@
     fleet.stop().await;
 }
 
+// Guards against a repeated SIGTERM that cuts requests in flight, although the platform
+// ends a process by SIGKILL only after the grace period.
+#[test_case(&["TERM", "TERM"], true; "terminated twice")]
+#[test_case(&["TERM", "INT"], true; "terminated and interrupted")]
+#[test_case(&["INT", "TERM"], true; "interrupted and terminated")]
+#[test_case(&["INT", "INT"], false; "interrupted twice")]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_signals(signals: &[&str], is_answered: bool) {
+    let mut fleet = ProcessFleet::start().await;
+    for backend in &fleet.backends {
+        backend.hold();
+        backend.set_behaviour(Behaviour::Held);
+    }
+    let steps = async {
+        let end = Instant::now() + WAIT_LIMIT;
+        while fleet.runs("held") == 0 {
+            assert!(Instant::now() < end, "the request has not run");
+            sleep(Duration::from_millis(5)).await;
+        }
+        for signal in signals {
+            fleet.daemons[0].signal(signal);
+            sleep(Duration::from_millis(300)).await;
+        }
+        for backend in &fleet.backends {
+            backend.release();
+        }
+    };
+    let (answer, ()) = tokio::join!(fleet.send(0, Method::POST, "held"), steps);
+    let status = answer.map(|answer| answer.status);
+    assert_eq!(status, is_answered.then_some(StatusCode::OK));
+    let mut stopped = fleet.daemons.remove(0);
+    let ended = tokio::task::spawn_blocking(move || stopped.wait()).await;
+    assert!(ended.unwrap(), "the process must exit with code 0");
+    fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stopped_and_continued_under_load() {
     let fleet = ProcessFleet::start().await;
