A daemon that is behind does not take a newer key for withdrawn

Callers got 401 for a key that was in force: the egress looks the key of a request up again when it grants a slot, and a daemon that was back from a cut did not know a key yet that the ingress had checked. The answer of a stale daemon overruled that of a current one. The offer now carries the revision of the table that contains the key, and only a daemon at that revision or a later one refuses. Dropping the second check was ruled out: a key that is withdrawn while its request waits must stop it (key_withdrawn_in_the_queue_is_not_run).

Frames have a new version, since the offer has a new field.

--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -243,6 +243,15 @@
     pub account: AccountId,
 }
 
+/// A caller's key that a daemon has found in its table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct CheckedKey {
+    /// Digest of the key.
+    pub digest: KeyDigest,
+    /// Revision of the table that contains the key.
+    pub revision: Revision,
+}
+
 /// State of a VM according to the platform.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -10,8 +10,8 @@
 use ids::{AccountId, Revision, ServerId, ServiceId, VmId, ZoneId};
 
 use crate::{
-    Account, Backend, CallerKey, ConfigError, Delta, KeyDigest, PackedMap, PoolMembers, Record,
-    RecordId, Route, Service, ShardMap, StateDigest, Vm, Zone,
+    Account, Backend, CallerKey, CheckedKey, ConfigError, Delta, KeyDigest, PackedMap, PoolMembers,
+    Record, RecordId, Route, Service, ShardMap, StateDigest, Vm, Zone,
 };
 
 /// Host of routes that match any host.
@@ -64,9 +64,10 @@
         key.digest.matches(digest).then_some(key)
     }
 
-    /// Whether a key with this digest exists.
-    pub fn has_key(&self, digest: &KeyDigest) -> bool {
-        self.keys.contains(*digest)
+    /// Whether a key that was found in a table has been withdrawn. A table that
+    /// is older than that one may lack the key because it was added later.
+    pub fn has_withdrawn(&self, key: &CheckedKey) -> bool {
+        self.revision() >= key.revision && !self.keys.contains(key.digest)
     }
 
     /// Returns a client account.
--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use config::KeyDigest;
+use config::CheckedKey;
 use health::OutcomeCounts;
 use ids::{AccountId, Rank, ServerId, Weight, WorkPriority};
 use serde::{Deserialize, Serialize};
@@ -77,9 +77,8 @@
     pub server: ServerId,
     /// Client account of the caller; `None` on an open route.
     pub account: Option<AccountId>,
-    /// Digest of the caller's key, which is checked again when the slot is
-    /// granted.
-    pub key: Option<KeyDigest>,
+    /// Caller's key, which is checked again when the slot is granted.
+    pub key: Option<CheckedKey>,
     /// Relative share of the account when accounts compete for slots.
     pub weight: Weight,
     /// Rank among the requests that wait for a slot.
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -15,7 +15,7 @@
 /// Maximum size of a frame in bytes; it fits one packet on usual networks.
 pub const MAX_FRAME_BYTES: usize = 1_400;
 /// Version of the frame format.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 /// Length of the keyed hash in bytes.
 const HASH_BYTES: usize = 16;
 /// Key derivation context that separates frame hashes from other uses of the
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -246,7 +246,7 @@
         // The key may have been withdrawn, or the server may have begun to
         // fail, while the request waited.
         match job.key {
-            Some(digest) if !self.view.table().has_key(&digest) => return Err(NotRun::Withdrawn),
+            Some(key) if self.view.table().has_withdrawn(&key) => return Err(NotRun::Withdrawn),
             _ => {}
         }
         let pass = server.pass_gate(job)?;
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -12,7 +12,7 @@
 };
 
 use bytes::Bytes;
-use config::{Access, Account, KeyDigest, KeyHasher, Route, TrafficClass};
+use config::{Access, Account, CheckedKey, KeyHasher, Route, TrafficClass};
 use hyper::{
     Request, Response,
     body::Body,
@@ -97,7 +97,7 @@
     route: Route,
     pool: Arc<PoolState>,
     /// Key and client account of the caller; `None` on an open route.
-    caller: Option<(KeyDigest, Arc<Account>)>,
+    caller: Option<(CheckedKey, Arc<Account>)>,
 }
 
 impl RequestContext {
@@ -225,7 +225,7 @@
                 .caller
                 .as_ref()
                 .map(|(_, account)| Arc::clone(account)),
-            key: context.caller.as_ref().map(|(digest, _)| *digest),
+            key: context.caller.as_ref().map(|(key, _)| *key),
             internal: route.class == TrafficClass::Internal,
             bulk: route.bulk,
             idempotent: route::is_idempotent(head.method.as_str(), route.idempotent),
@@ -276,7 +276,11 @@
                     .digest(metadata.key.as_deref().ok_or(Refusal::BadKey)?);
                 let key = table.key(&digest).ok_or(Refusal::BadKey)?;
                 let account = table.account(&key.account).ok_or(Refusal::BadKey)?;
-                Some((digest, Arc::new(account)))
+                let checked = CheckedKey {
+                    digest,
+                    revision: table.revision(),
+                };
+                Some((checked, Arc::new(account)))
             }
         };
         let service = route.pick_service(rand::random());
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use config::{Account, KeyDigest};
+use config::{Account, CheckedKey};
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use hyper::{Response, body::Body, http::request::Parts};
 use ids::{MonoTime, Rank, WorkPriority};
@@ -43,7 +43,7 @@
     /// Client account of the caller; `None` on an open route.
     pub account: Option<Arc<Account>>,
     /// Digest of the caller's key.
-    pub key: Option<KeyDigest>,
+    pub key: Option<CheckedKey>,
     /// Rank among the requests that wait for a slot.
     pub rank: Rank,
     /// Priority among otherwise equal requests when not all can be served.
