A service whose servers reject requests is not taken for failing

What callers saw: all servers of a service rejected 55% of their requests without running them for 8 to 18 s.

Cause: two rejections closed the gate of an egress, as two errors do, and the gates of all servers closed.

Ruled out: a gate with evidence relative to the peers, which closes before the peers are known; an adaptive limit per server, which gives up slots that would serve where rejections do not depend on the load (docs/design/overload.md).

Change: rejections are no evidence for the gate. The egress measures the share that its server rejects and reports it; ingresses compare the servers of a pool, and avoid those that reject much more than usual. Second tries draw on the retry budget by rank and by the time left to the target, hedges last. Metrics `rejections` and `retries_denied`, and a log line of the egress.

The case `two rejections` of server_gate.rs stated the former behavior and is replaced by `only rejections` (20 of them leave the gate open) and by a lost connection among rejections (it closes).

Tests: route/tests/rejecting_servers.rs in simulated time, and health/tests/server_gate.rs.

--- a/crates/health/src/gate.rs
+++ b/crates/health/src/gate.rs
@@ -52,7 +52,9 @@
     Lost,
     /// The answer ended early, or did not belong to the request.
     Broken,
-    /// The server rejected the request although it should have had a free slot.
+    /// The server rejected the request without running it. This is a statement
+    /// about its capacity and no evidence that it is failing; see
+    /// [`RejectionShare`](crate::RejectionShare).
     Rejected,
     /// No answer within the slow limit.
     Overdue,
@@ -70,7 +72,7 @@
             Self::Error => 3.0,
             Self::Lost => 5.0,
             Self::Broken => 2.5,
-            Self::Rejected => 3.0,
+            Self::Rejected => 0.0,
             Self::Overdue => 1.5,
             Self::Stuck => 2.5,
         }
@@ -136,6 +138,9 @@
 
     /// Records an outcome.
     pub fn record(&mut self, now: MonoTime, outcome: Outcome) {
+        if outcome == Outcome::Rejected {
+            return;
+        }
         let was_closed = self.is_closed(now);
         self.recorded_log_odds =
             (self.log_odds(now) + outcome.log_likelihood_ratio()).clamp(MIN_LOG_ODDS, MAX_LOG_ODDS);
@@ -188,6 +193,13 @@
         };
     }
 
+    /// Ends the trial in progress, which has shown nothing about the server. The time
+    /// until the next one is unchanged.
+    pub fn abandon_trial(&mut self, now: MonoTime) {
+        self.trial_since = None;
+        self.last_trial = now;
+    }
+
     /// Begins a trial and returns the decision for its request.
     fn begin_trial(&mut self, now: MonoTime) -> GateDecision {
         self.trial_since = Some(now);
--- a/crates/health/src/lib.rs
+++ b/crates/health/src/lib.rs
@@ -19,6 +19,7 @@
 mod event;
 mod gate;
 mod member;
+mod rejection;
 mod score;
 
 pub use calls::FailedCalls;
@@ -26,4 +27,5 @@
 pub use event::{Action, Event, MemberSpec, Observation, OutcomeCounts, Reason};
 pub use gate::{GateDecision, Outcome, ServerGate};
 pub use member::Rotation;
+pub use rejection::{RejectionChange, RejectionShare};
 pub use score::Signal;
--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -4,7 +4,7 @@
 
 use config::KeyDigest;
 use health::OutcomeCounts;
-use ids::{AccountId, Rank, ServerId, Weight, WorkPriority};
+use ids::{AccountId, Percent, Rank, ServerId, Weight, WorkPriority};
 use serde::{Deserialize, Serialize};
 
 /// Id of an offer, unique within the daemon that makes the offer.
@@ -120,6 +120,9 @@
     pub counts: OutcomeCounts,
     /// Whether the egress refuses ordinary requests for the backend server.
     pub closed: bool,
+    /// Share of recent requests that the backend server rejected without running
+    /// them.
+    pub rejected: Percent,
 }
 
 /// Reply of an egress about an offer.
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -3,7 +3,7 @@
 use config::Delta;
 use health::OutcomeCounts;
 use hop::{HopMessage, ServerNotice};
-use ids::{Revision, ServerId};
+use ids::{Percent, Revision, ServerId};
 use limit::LimitMessage;
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +46,8 @@
         counts: OutcomeCounts,
         /// Whether the egress refuses ordinary requests for the backend server.
         closed: bool,
+        /// Share of recent requests that the backend server rejected.
+        rejected: Percent,
     },
     /// Passes on what a backend server says about itself: from the egress beside it
     /// to an ingress, and from an ingress to that egress, which may have restarted
--- a/crates/mesh/tests/frame_contract.rs
+++ b/crates/mesh/tests/frame_contract.rs
@@ -49,6 +49,7 @@
             ..OutcomeCounts::default()
         },
         closed: true,
+        rejected: ids::Percent(3),
     }
 }
 
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -7,11 +7,18 @@
 //! probability equal to the fraction of a retry that it has saved. If it could
 //! only make whole retries, each of many daemons would save up one, and together
 //! they would exceed the bound of the fleet many times over.
+//!
+//! If the budget does not suffice for all retries, the more urgent ones get it.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{
+    Mutex,
+    atomic::{AtomicU64, Ordering},
+};
 
 use ids::{Percent, stable_hash};
 
+use crate::urgency::{RetryDemand, RetryUrgency};
+
 /// Cost of one retry, in tokens.
 const RETRY_COST: u64 = 100;
 /// Capacity of a budget, in retries, until [`RetryBudget::set_capacity`] is
@@ -33,6 +40,9 @@
 pub struct RetryBudget {
     tokens: AtomicU64,
     capacity: AtomicU64,
+    /// Tokens that were deposited so far, whether or not they were kept.
+    deposited: AtomicU64,
+    demand: Mutex<RetryDemand>,
     /// Number of the next random draw. Budgets begin at different numbers.
     next_draw: AtomicU64,
 }
@@ -60,6 +70,8 @@
         Self {
             tokens: AtomicU64::new(to_tokens(INITIAL_BALANCE)),
             capacity: AtomicU64::new(to_tokens(DEFAULT_CAPACITY)),
+            deposited: AtomicU64::new(0),
+            demand: Mutex::default(),
             next_draw: AtomicU64::new(stable_hash(&seed.to_le_bytes())),
         }
     }
@@ -76,6 +88,7 @@
     /// share of this request, so that it can use its own share at once.
     pub fn deposit(&self, share: Percent) {
         let share = u64::from(share.get());
+        self.deposited.fetch_add(share, Ordering::Relaxed);
         let capacity = self.capacity.load(Ordering::Relaxed) + share;
         let add = |tokens: u64| Some((tokens + share).min(capacity));
         let _ = self
@@ -83,13 +96,32 @@
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
-    /// Withdraws one retry and returns whether the retry may be made.
+    /// Withdraws one retry and returns whether the retry may be made. A retry is denied
+    /// although the budget holds one if more urgent retries are likely to need it.
+    pub fn withdraw(&self, urgency: RetryUrgency) -> bool {
+        let deposited = self.deposited.load(Ordering::Relaxed) as f64 / RETRY_COST as f64;
+        let saved = self.tokens.load(Ordering::Relaxed) as f64 / RETRY_COST as f64;
+        let mut demand = self
+            .demand
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        let granted = demand.record(urgency, deposited, saved);
+        drop(demand);
+        // What the next request deposits beyond the capacity would be lost.
+        let is_full = self.tokens.load(Ordering::Relaxed) > self.capacity.load(Ordering::Relaxed);
+        if granted < 1.0 && !is_full && self.draw() as f64 >= granted * RETRY_COST as f64 {
+            return false;
+        }
+        self.take_one()
+    }
+
+    /// Takes one retry out of the budget, if it holds one.
     ///
     /// If the capacity is less than one retry, all tokens are spent on a random
     /// draw that wins with the probability of the fraction saved. They are spent
     /// even if the draw is lost: if they were kept, draws would win more retries
     /// than were deposited.
-    pub fn withdraw(&self) -> bool {
+    fn take_one(&self) -> bool {
         let is_fractional = self.capacity.load(Ordering::Relaxed) < RETRY_COST;
         let take = |tokens: u64| match tokens {
             RETRY_COST.. => Some(tokens - RETRY_COST),
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -6,6 +6,8 @@
 
 use ids::Percent;
 
+use crate::rejection::rejection_delay;
+
 /// Longest time of a report that is believed. It keeps sums of times finite whatever
 /// a peer reports.
 const MAX_REPORTED_TIME: Duration = Duration::from_secs(3_600);
@@ -53,6 +55,8 @@
     /// Share of its usual traffic that it may get, from 0 to 1, by its health and
     /// slow start. At 0 it is ejected.
     pub weight: f64,
+    /// How much more than usual in its pool it rejects requests, from 0 to 1.
+    pub rejected: f64,
 }
 
 impl Candidate {
@@ -80,6 +84,9 @@
     wait.div_f64(candidate.weight.clamp(0.01, 1.0))
 }
 
+/// Least share of its usual draws that a candidate keeps which rejects everything.
+const MIN_ACCEPTED: f64 = 0.02;
+
 /// Returns the index of the best of at most three random candidates, or `None` if
 /// no candidate has a weight above 0.
 ///
@@ -107,7 +114,8 @@
             true => Duration::ZERO,
             false => zone_penalty,
         };
-        expected_delay(&candidates[*index]) + extra
+        let rejected = rejection_delay(candidates[*index].rejected);
+        expected_delay(&candidates[*index]) + rejected + extra
     };
     // The first of equals is taken, which is one in this zone.
     near.into_iter().chain(far).flatten().min_by_key(cost)
@@ -154,7 +162,7 @@
     skip: Option<usize>,
 ) -> Option<usize> {
     let weight = |(index, item): (usize, &Candidate)| match Some(index) != skip {
-        true if is_eligible(item) => item.weight.max(0.0),
+        true if is_eligible(item) => item.weight.max(0.0) * (1.0 - item.rejected).max(MIN_ACCEPTED),
         _ => 0.0,
     };
     let total: f64 = candidates.iter().enumerate().map(weight).sum();
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,8 @@
 mod idempotence;
 mod plan;
 mod quantile;
+mod rejection;
+mod urgency;
 
 pub use budget::RetryBudget;
 pub use choice::{Candidate, Distance, choose_server, expected_delay, keep_floor};
@@ -18,3 +20,5 @@
     AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, PlanAction, PlanEvent, PlanOptions,
 };
 pub use quantile::LatencyQuantile;
+pub use rejection::{aged_rejections, excess_rejections, is_avoided, usual_rejections};
+pub use urgency::RetryUrgency;
--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -2,9 +2,9 @@
 
 use std::{fmt, time::Duration};
 
-use ids::MonoTime;
+use ids::{MonoTime, Rank};
 
-use crate::RetryBudget;
+use crate::{RetryBudget, RetryUrgency};
 
 /// Maximum number of attempts of one request, whatever the retry budget holds.
 const MAX_ATTEMPTS: u32 = 4;
@@ -26,8 +26,14 @@
     pub idempotent: bool,
     /// Whether the body of the request can be sent again.
     pub replayable: bool,
+    /// Rank among the requests that wait for a slot.
+    pub rank: Rank,
+    /// Time of the target latency; a later answer is worth less to the caller.
+    pub target: MonoTime,
     /// Time at which the caller gives up.
     pub deadline: MonoTime,
+    /// Time that a backend server usually needs for a request; zero while unknown.
+    pub expected_work: Duration,
     /// Maximum number of backend servers that may run the request.
     pub max_runs: Option<u32>,
     /// Time after which an idempotent request is hedged.
@@ -157,7 +163,7 @@
             // anything is sent.
             _ if now >= self.options.deadline => self.time_out(&mut actions),
             PlanEvent::Start => self.start(now, &mut actions),
-            PlanEvent::Stalled(id) => self.replace_stalled(id, budget, &mut actions),
+            PlanEvent::Stalled(id) => self.replace_stalled(now, id, budget, &mut actions),
             PlanEvent::Tick => self.hedge(now, budget, &mut actions),
         }
         actions
@@ -171,6 +177,11 @@
         }
     }
 
+    /// Number of attempts so far.
+    pub fn attempts_made(&self) -> u32 {
+        self.attempts.len() as u32
+    }
+
     /// Whether the request has an outcome or its caller has disconnected.
     pub fn is_done(&self) -> bool {
         self.done
@@ -187,14 +198,29 @@
             // A retry would add load to a pool that refuses requests.
             AttemptEnd::NoCapacity => false,
             AttemptEnd::Unavailable | AttemptEnd::Unsent => true,
+            // Half of the usual time is often enough, but less would spend the budget
+            // on an answer that comes after the deadline.
+            AttemptEnd::Rejected
+                if now + self.options.expected_work / 2 >= self.options.deadline =>
+            {
+                false
+            }
             // The request reached a backend server, so a retry adds load and the
             // budget counts it.
-            AttemptEnd::Rejected => budget.withdraw(),
+            AttemptEnd::Rejected => budget.withdraw(self.urgency(now)),
             _ if !self.may_run_again() => false,
-            AttemptEnd::Lost | AttemptEnd::Truncated | AttemptEnd::Failed => budget.withdraw(),
+            AttemptEnd::Lost | AttemptEnd::Truncated | AttemptEnd::Failed => {
+                budget.withdraw(self.urgency(now))
+            }
         }
     }
 
+    /// Returns the urgency of a retry at `now`.
+    fn urgency(&self, now: MonoTime) -> RetryUrgency {
+        let late = now + self.options.expected_work > self.options.target;
+        RetryUrgency::new(self.options.rank, late)
+    }
+
     /// Whether one more backend server may run the request.
     fn may_run_again(&self) -> bool {
         let may_have_run = |state: &&AttemptState| **state != AttemptState::NotRun;
@@ -228,28 +254,34 @@
             Some(due) if due <= now => self.hedge_at = None,
             _ => return,
         }
-        self.send_beside(budget, actions);
+        self.send_beside(RetryUrgency::HEDGE, budget, actions);
     }
 
     /// Sends a second attempt in parallel to one whose daemon is silent.
     fn replace_stalled(
         &mut self,
+        now: MonoTime,
         id: AttemptId,
         budget: &RetryBudget,
         actions: &mut Vec<PlanAction>,
     ) {
         let is_open = self.attempts.get(id.0 as usize) == Some(&AttemptState::Open);
         if is_open && self.options.idempotent && self.options.replayable {
-            self.send_beside(budget, actions);
+            self.send_beside(self.urgency(now), budget, actions);
         }
     }
 
     /// Sends a second attempt in parallel to the only open one, if the limits and
     /// the budget allow it.
-    fn send_beside(&mut self, budget: &RetryBudget, actions: &mut Vec<PlanAction>) {
+    fn send_beside(
+        &mut self,
+        urgency: RetryUrgency,
+        budget: &RetryBudget,
+        actions: &mut Vec<PlanAction>,
+    ) {
         let is_below_limit = (self.attempts.len() as u32) < MAX_ATTEMPTS;
         let is_alone = self.open_count() == 1;
-        if is_alone && is_below_limit && self.may_run_again() && budget.withdraw() {
+        if is_alone && is_below_limit && self.may_run_again() && budget.withdraw(urgency) {
             self.send(actions);
         }
     }
--- a/crates/route/tests/attempt_limits.rs
+++ b/crates/route/tests/attempt_limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ids::{MonoTime, Percent};
+use ids::{MonoTime, Percent, Rank};
 use route::{
     AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, PlanAction, PlanEvent, PlanOptions,
     RetryBudget,
@@ -27,7 +27,10 @@
     AttemptPlan::new(PlanOptions {
         idempotent,
         replayable: true,
+        rank: Rank(0),
+        target: at(3_000),
         deadline: at(3_000),
+        expected_work: Duration::ZERO,
         max_runs: None,
         hedge_after,
     })
--- a/crates/route/tests/plan_fuzz.rs
+++ b/crates/route/tests/plan_fuzz.rs
@@ -51,7 +51,10 @@
                 options: PlanOptions {
                     idempotent,
                     replayable,
+                    rank: ids::Rank(0),
+                    target: MonoTime::from_millis(200),
                     deadline: MonoTime::from_millis(200),
+                    expected_work: Duration::ZERO,
                     max_runs: None,
                     hedge_after: hedge.map(Duration::from_millis),
                 },
--- a/crates/route/tests/server_choice.rs
+++ b/crates/route/tests/server_choice.rs
@@ -17,6 +17,7 @@
     service_time: Duration::from_millis(10),
     distance: Distance::Zone,
     weight: 1.0,
+    rejected: 0.0,
 };
 const FULL: Candidate = Candidate {
     running: 5,
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -209,6 +209,7 @@
                     idempotent: self.options().idempotent,
                     reach: limits.reach,
                     zone_penalty: self.zone_patience(),
+                    last_resort: limits.may_force,
                 };
                 let mut tried = self.asked.clone();
                 tried.extend(lock(&self.source.committed_to).iter().cloned());
--- a/crates/serve/src/control/event.rs
+++ b/crates/serve/src/control/event.rs
@@ -4,7 +4,7 @@
 
 use config::{ConfigTable, Delta, VmList};
 use health::OutcomeCounts;
-use ids::{AccountId, ServerId, ServiceId, VmId};
+use ids::{AccountId, Percent, ServerId, ServiceId, VmId};
 use limit::{LeaseSlots, TakeRefusal, TokenGrant};
 use tokio::sync::{mpsc, oneshot};
 
@@ -63,6 +63,8 @@
         counts: OutcomeCounts,
         /// Whether the egress refuses ordinary requests for the backend server.
         closed: bool,
+        /// Share of recent requests that the backend server rejected.
+        rejected: Percent,
         /// VMs of the recent ingresses.
         ingresses: Vec<VmId>,
     },
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -267,18 +267,17 @@
                 server,
                 counts,
                 closed,
+                rejected,
                 ingresses,
             } => {
+                let evidence = PeerMessage::Evidence {
+                    server,
+                    counts,
+                    closed,
+                    rejected,
+                };
                 for to in ingresses {
-                    let server = server.clone();
-                    self.parts.socket.send(
-                        &to,
-                        PeerMessage::Evidence {
-                            server,
-                            counts,
-                            closed,
-                        },
-                    );
+                    self.parts.socket.send(&to, evidence.clone());
                 }
             }
             ControlEvent::ConfigRead { table, deltas } => {
@@ -352,11 +351,14 @@
                 server,
                 counts,
                 closed,
+                rejected,
             } => {
                 let table = self.parts.view.table();
                 let service = table.server(&server).map(|backend| backend.service.clone());
                 if let Some(service) = service {
-                    self.parts.pools.record_gate(&service, &server, closed);
+                    self.parts
+                        .pools
+                        .record_announced(&service, &server, closed, rejected);
                     let now = self.now();
                     self.detectors
                         .handle(now, &service, HealthEvent::Reported(server, counts));
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -54,7 +54,7 @@
                         let response = Response::from_parts(head, body);
                         self.forward_answer(response, service, overdue, held)
                     }
-                    AnswerKind::NotRun(reason) => self.handle_rejection(reason),
+                    AnswerKind::NotRun(reason) => self.handle_rejection(reason, held),
                     AnswerKind::Foreign => {
                         log::warn!(
                             "egress: {} sent an answer to another request; it is discarded.",
@@ -139,9 +139,13 @@
 
     /// Records that the backend server reports not to have run a request, and
     /// returns the result.
-    fn handle_rejection(&self, reason: NotRun) -> EgressAnswer {
+    fn handle_rejection(&self, reason: NotRun, mut held: HeldSlot) -> EgressAnswer {
         match reason {
-            NotRun::Shedding => self.record_outcome(Outcome::Rejected),
+            NotRun::Shedding => {
+                held.pass.rejected = true;
+                self.record_outcome(Outcome::Rejected);
+                self.record_acceptance(true);
+            }
             NotRun::Misdirected => self.record_replaced(),
             _ => {}
         }
@@ -199,6 +203,7 @@
         let failed = head.status.is_server_error() && shed.is_none();
         let explained = failed && self.is_explained(service);
         let response = Response::from_parts(head, body);
+        self.record_acceptance(false);
         held.pass.good = !failed && !overdue;
         match failed {
             true if explained => {}
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -412,6 +412,7 @@
             id: backend.id.clone(),
             codec: Arc::clone(&self.codec),
             gate: Mutex::default(),
+            rejections: Mutex::default(),
             notice: Mutex::default(),
             calls: Arc::clone(&self.calls),
             evidence: ServerEvidence::new(self.incarnation.0),
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -11,9 +11,9 @@
 
 use admit::{Job, JobId, QueueEvent, QueueRefusal};
 use config::Backend;
-use health::{FailedCalls, GateDecision, Outcome, ServerGate};
+use health::{FailedCalls, GateDecision, Outcome, RejectionShare, ServerGate};
 use hop::{OfferJob, ServerLoad};
-use ids::{MonoTime, ServerId, Slots};
+use ids::{MonoTime, Percent, ServerId, Slots};
 use tokio::sync::{Notify, oneshot};
 
 use super::{
@@ -59,6 +59,8 @@
     pub(super) id: ServerId,
     pub(super) codec: Arc<dyn EdgeCodec>,
     pub(super) gate: Mutex<ServerGate>,
+    /// Share of recent requests that the server rejected.
+    pub(super) rejections: Mutex<RejectionShare>,
     /// What the server says about itself.
     pub(super) notice: Mutex<KnownNotice>,
     /// Failed calls that requests on this VM made to other services.
@@ -113,6 +115,7 @@
                 server: Arc::clone(self),
                 trial: decision == GateDecision::Trial,
                 good: false,
+                rejected: false,
             }),
         }
     }
@@ -161,6 +164,38 @@
             .unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Counts a request that the server accepted or rejected. Logs when the server
+    /// begins or ceases to reject, and tells recent ingresses of a server that rejects
+    /// nearly everything.
+    pub(super) fn record_acceptance(&self, rejected: bool) {
+        let now = self.clock.now();
+        let change = self.lock_rejections().record(now, rejected);
+        if let Some(rejecting) = change.rejecting {
+            let state = if rejecting { "rejecting" } else { "accepting" };
+            log::info!(
+                server = self.id.as_str(),
+                state = state,
+                rejected = self.rejected_share().to_string().as_str();
+                "egress: the backend server rejects another share of its requests."
+            );
+        }
+        if change.announce {
+            self.notify_ingresses();
+        }
+    }
+
+    /// Returns the share of recent requests that the server rejected.
+    fn rejected_share(&self) -> Percent {
+        self.lock_rejections().share(self.clock.now())
+    }
+
+    /// Locks the share of rejections, whose holders never panic.
+    fn lock_rejections(&self) -> MutexGuard<'_, RejectionShare> {
+        self.rejections
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// Locks the notice, whose holders never panic.
     pub(super) fn known_notice(&self) -> MutexGuard<'_, KnownNotice> {
         self.notice
@@ -263,6 +298,7 @@
                 server: self.id.clone(),
                 counts: self.evidence.counts(),
                 closed: self.gate().is_closed(self.clock.now()),
+                rejected: self.rejected_share(),
                 ingresses,
             });
         }
@@ -301,6 +337,7 @@
             delay_us: (load.delay + extra).as_micros() as u64,
             counts: self.evidence.counts(),
             closed: self.gate().is_closed(now),
+            rejected: self.rejected_share(),
         }
     }
 
--- a/crates/serve/src/egress/slot.rs
+++ b/crates/serve/src/egress/slot.rs
@@ -15,13 +15,18 @@
     pub(super) trial: bool,
     /// Whether the request got a good answer.
     pub(super) good: bool,
+    /// Whether the server rejected the request, which decides no trial.
+    pub(super) rejected: bool,
 }
 
 impl Drop for GatePass {
     fn drop(&mut self) {
         if self.trial {
             let now = self.server.clock.now();
-            self.server.gate().end_trial(now, self.good);
+            match self.rejected {
+                true => self.server.gate().abandon_trial(now),
+                false => self.server.gate().end_trial(now, self.good),
+            }
         }
     }
 }
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -48,6 +48,11 @@
     pub unlogged: Counter,
     /// Number of retries and hedges, by service.
     pub retries: Family<ServiceLabel, Counter>,
+    /// Number of requests that backend servers rejected without running them, by
+    /// service.
+    pub rejections: Family<ServiceLabel, Counter>,
+    /// Number of rejected requests that were not tried again, by service.
+    pub retries_denied: Family<ServiceLabel, Counter>,
     /// Number of ejections, by service.
     pub ejections: Family<ServiceLabel, Counter>,
     /// Revision of the configuration in force.
@@ -89,6 +94,8 @@
             slot_wait: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
             unlogged: Counter::default(),
             retries: Family::default(),
+            rejections: Family::default(),
+            retries_denied: Family::default(),
             ejections: Family::default(),
             revision: Gauge::default(),
             platform_age_ms: Gauge::default(),
@@ -137,6 +144,16 @@
             self.unlogged.clone(),
         );
         registry.register("retries", "Retries and hedges", self.retries.clone());
+        registry.register(
+            "rejections",
+            "Requests that backend servers rejected without running them",
+            self.rejections.clone(),
+        );
+        registry.register(
+            "retries_denied",
+            "Rejected requests that were not tried again",
+            self.retries_denied.clone(),
+        );
         registry.register(
             "ejections",
             "Backend servers ejected",
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -11,7 +11,10 @@
 use config::{PoolMembers, Service};
 use hop::SearchReach;
 use ids::{Percent, ServerId};
-use route::{Candidate, LatencyQuantile, RetryBudget, choose_server, keep_floor};
+use route::{
+    Candidate, LatencyQuantile, RetryBudget, choose_server, excess_rejections, is_avoided,
+    keep_floor, usual_rejections,
+};
 
 pub use self::{server::ServerState, table::PoolTable};
 use crate::view::FleetView;
@@ -35,6 +38,17 @@
 }
 
 impl PoolState {
+    /// Returns the time that a server of the pool usually needs for a request, or zero
+    /// while none is known.
+    pub fn expected_work(&self) -> Duration {
+        let times = self.servers.iter().map(|state| state.service_time());
+        let known = times.filter(|time| !time.is_zero());
+        let (sum, count) = known.fold((Duration::ZERO, 0), |(sum, count), time| {
+            (sum + time, count + 1)
+        });
+        sum.checked_div(count).unwrap_or_default()
+    }
+
     /// Returns a backend server on probation that is to get a canary, and marks
     /// the canary as sent.
     pub fn choose_canary(&self, view: &FleetView) -> Option<Arc<ServerState>> {
@@ -46,6 +60,9 @@
 
     /// Chooses a backend server that is not in `tried`.
     ///
+    /// A server that rejects much more than its peers is chosen only as a last resort
+    /// and before the failing ones.
+    ///
     /// A server that is considered failing, or whose daemon does not reply, is
     /// chosen only if there is no other. The choice is then marked as forced,
     /// and the server may be in `tried`.
@@ -59,22 +76,32 @@
             idempotent,
             reach,
             zone_penalty,
+            last_resort,
         } = options;
         let usable = |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm);
         let states: Vec<&Arc<ServerState>> = self.servers.iter().filter(usable).collect();
+        let rejections = PoolRejections::new(&states);
         let fresh = |state: &&&Arc<ServerState>| {
             let tried = tried.contains(&state.backend.id);
             let leaving = state.notice().leaving;
             !tried && !leaving && !state.is_silent() && !state.is_failing(idempotent)
         };
         let healthy: Vec<&Arc<ServerState>> = states.iter().filter(fresh).copied().collect();
+        let (rejecting, accepting): (Vec<_>, Vec<_>) = healthy
+            .into_iter()
+            .partition(|state| is_avoided(rejections.excess(state)));
         let rules = PoolRules {
+            rejections,
             size: states.len(),
             floor: self.service.floor,
             reach,
             zone_penalty,
         };
-        match choose_among(healthy, rules) {
+        let chosen = match choose_among(accepting, rules) {
+            None if last_resort => choose_among(rejecting, rules),
+            chosen => chosen,
+        };
+        match chosen {
             Some(server) => {
                 return Some(ServerChoice {
                     server,
@@ -105,6 +132,10 @@
     /// Delay that a server in another zone must save to be preferred. Traffic
     /// between zones costs money by the byte.
     pub zone_penalty: Duration,
+    /// Whether no other offer of the request is open. Only then may it go to a server
+    /// that rejects more than its peers, which has no queue and would be the first to
+    /// grant a slot.
+    pub last_resort: bool,
 }
 
 /// Backend server that was chosen for an attempt.
@@ -117,9 +148,34 @@
     pub forced: bool,
 }
 
+/// Rejections that are usual in a pool.
+#[derive(Clone, Copy, Debug)]
+struct PoolRejections {
+    usual: f64,
+}
+
+impl PoolRejections {
+    /// Compares the shares that the servers of a pool reject.
+    fn new(states: &[&Arc<ServerState>]) -> Self {
+        let shares = || states.iter().map(|state| state.rejections());
+        let usual = match shares().any(|share| share > 0.0) {
+            true => usual_rejections(shares().collect()),
+            false => 0.0,
+        };
+        Self { usual }
+    }
+
+    /// Returns how much more than usual a server rejects.
+    fn excess(self, state: &ServerState) -> f64 {
+        excess_rejections(state.rejections(), self.usual)
+    }
+}
+
 /// Rules for a choice in a pool.
 #[derive(Clone, Copy, Debug)]
 struct PoolRules {
+    /// Rejections that are usual in the pool.
+    rejections: PoolRejections,
     /// Number of usable servers in the pool.
     size: usize,
     /// Share of the pool that stays in rotation.
@@ -136,7 +192,10 @@
     if states.iter().any(|state| !state.is_leaving()) {
         states.retain(|state| !state.is_leaving());
     }
-    let mut candidates: Vec<Candidate> = states.iter().map(|state| state.candidate()).collect();
+    let mut candidates: Vec<Candidate> = states
+        .iter()
+        .map(|state| state.candidate(rules.rejections.excess(state)))
+        .collect();
     keep_floor(&mut candidates, rules.size, rules.floor);
     if rules.reach == SearchReach::Zone {
         let outside = |item: &&mut Candidate| !item.is_same_zone();
--- a/crates/serve/src/pool/server.rs
+++ b/crates/serve/src/pool/server.rs
@@ -10,7 +10,8 @@
 
 use config::Backend;
 use hop::{ServerLoad, ServerNotice};
-use route::{Candidate, Distance};
+use ids::Percent;
+use route::{Candidate, Distance, aged_rejections};
 
 use crate::link::ConnectionPool;
 
@@ -63,6 +64,10 @@
     /// Time of the latest report that the server is failing, in milliseconds from
     /// `start`, plus one; zero if it is not failing.
     failing_ms: AtomicU64,
+    /// Percentage of recent requests that the server rejected, as last reported, and
+    /// when that was, in milliseconds from `start`.
+    rejected: AtomicU8,
+    rejected_ms: AtomicU64,
     /// Number of consecutive offers without a reply of the server's daemon.
     /// Offers that are made while the server is avoided are not counted.
     offers_without_reply: AtomicU32,
@@ -94,6 +99,8 @@
             weight: AtomicU32::new(FULL_WEIGHT),
             canary: AtomicU8::new(NO_CANARY),
             failing_ms: AtomicU64::new(0),
+            rejected: AtomicU8::new(0),
+            rejected_ms: AtomicU64::new(0),
             offers_without_reply: AtomicU32::new(0),
             silent_until_ms: AtomicU64::new(0),
             notice: Mutex::default(),
@@ -109,6 +116,29 @@
         self.failing_ms.store(reported, Ordering::Relaxed);
     }
 
+    /// Returns the moving average of the service time; zero while unknown.
+    pub(super) fn service_time(&self) -> Duration {
+        Duration::from_micros(self.service_us.load(Ordering::Relaxed))
+    }
+
+    /// Records the share of recent requests that the server rejected.
+    pub fn record_rejections(&self, share: Percent) {
+        self.rejected_ms.store(self.age_ms(), Ordering::Relaxed);
+        self.rejected.store(share.get(), Ordering::Relaxed);
+    }
+
+    /// Returns the share of requests that the server rejects, as far as that is known.
+    pub(super) fn rejections(&self) -> f64 {
+        match self.rejected.load(Ordering::Relaxed) {
+            0 => 0.0,
+            share => {
+                let reported_ms = self.rejected_ms.load(Ordering::Relaxed);
+                let age = Duration::from_millis(self.age_ms().saturating_sub(reported_ms));
+                aged_rejections(Percent(share), age)
+            }
+        }
+    }
+
     /// Whether a request should avoid this server, by the latest report.
     pub fn is_failing(&self, idempotent: bool) -> bool {
         let duration = match idempotent {
@@ -170,6 +200,7 @@
         self.delay_us.store(load.delay_us, Ordering::Relaxed);
         self.reported_ms.store(self.age_ms(), Ordering::Relaxed);
         self.record_gate(load.closed);
+        self.record_rejections(load.rejected);
         if service_us > 0 {
             let old = self.service_us.load(Ordering::Relaxed);
             let step = (service_us >> SERVICE_TIME_SHIFT).max(1);
@@ -266,7 +297,8 @@
     }
 
     /// Returns the values by which the server is compared with others.
-    pub(super) fn candidate(&self) -> Candidate {
+    /// `rejected` is how much more than usual in its pool it rejects.
+    pub(super) fn candidate(&self, rejected: f64) -> Candidate {
         let (running, delay_us) = match self.is_load_fresh() {
             true => (
                 self.running.load(Ordering::Relaxed),
@@ -282,6 +314,7 @@
             service_time: Duration::from_micros(self.service_us.load(Ordering::Relaxed)),
             distance: self.distance,
             weight: self.weight() * self.limited_share(),
+            rejected,
         }
     }
 
@@ -298,6 +331,7 @@
             "delay_us": self.delay_us.load(Ordering::Relaxed),
             "limit": self.notice().limit.map(|limit| limit.to_string()),
             "leaving": self.notice().leaving,
+            "rejected": self.rejections(),
             "service_us": self.service_us.load(Ordering::Relaxed),
         })
     }
--- a/crates/serve/src/pool/table.rs
+++ b/crates/serve/src/pool/table.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use config::{Backend, PoolMembers, Service};
 use hop::ServerNotice;
-use ids::{FastMap, ServerId, ServiceId, VmId};
+use ids::{FastMap, Percent, ServerId, ServiceId, VmId};
 use route::{Distance, LatencyQuantile};
 
 use super::{PoolState, ServerState};
@@ -73,10 +73,18 @@
         }
     }
 
-    /// Records whether the egress of a server refuses ordinary requests.
-    pub fn record_gate(&self, service: &ServiceId, server: &ServerId, closed: bool) {
+    /// Records what the egress of a server has announced: whether it refuses ordinary
+    /// requests, and the share of requests that the server rejected.
+    pub fn record_announced(
+        &self,
+        service: &ServiceId,
+        server: &ServerId,
+        closed: bool,
+        rejected: Percent,
+    ) {
         if let Some(state) = self.state(service, server) {
             state.record_gate(closed);
+            state.record_rejections(rejected);
         }
     }
 
--- a/crates/serve/src/resume.rs
+++ b/crates/serve/src/resume.rs
@@ -16,6 +16,8 @@
     header::{CONTENT_RANGE, ETAG, HeaderValue, IF_RANGE, RANGE},
 };
 
+use route::RetryUrgency;
+
 use crate::{
     attempt::RequestSource,
     body::{BodyError, ProxyBody, full_body},
@@ -90,7 +92,7 @@
                 }
                 Some(Err(error)) => error,
             };
-            if self.resumes >= MAX_RESUMES || !self.pool.budget.withdraw() {
+            if self.resumes >= MAX_RESUMES || !self.pool.budget.withdraw(self.urgency()) {
                 return Err(error);
             }
             self.resumes += 1;
@@ -101,6 +103,13 @@
         }
     }
 
+    /// Returns the urgency of a resumption.
+    fn urgency(&self) -> RetryUrgency {
+        let options = &self.source.options;
+        let late = self.ingress.clock.now() > options.target;
+        RetryUrgency::new(options.rank, late)
+    }
+
     /// Requests the rest of the download. Returns it if a backend server answers
     /// with just the missing range of the same content.
     async fn resume_elsewhere(&mut self) -> Option<ProxyBody> {
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -130,7 +130,10 @@
         let mut plan = AttemptPlan::new(PlanOptions {
             idempotent: self.source.options.idempotent,
             replayable: self.source.replay.is_some(),
+            rank: self.source.options.rank,
+            target: self.source.options.target,
             deadline: self.source.options.deadline,
+            expected_work: self.pool.expected_work(),
             max_runs: self.source.options.max_attempts,
             hedge_after: self.hedge_after(),
         });
@@ -139,7 +142,12 @@
         let mut answer = None;
         let mut failed = None;
         loop {
-            for action in plan.handle(clock.now(), event, &budget) {
+            let rejected = matches!(event, PlanEvent::Ended(_, AttemptEnd::Rejected));
+            let actions = plan.handle(clock.now(), event, &budget);
+            if rejected {
+                self.count_rejection(&actions);
+            }
+            for action in actions {
                 match action {
                     PlanAction::Send(id) => self.start_attempt(id),
                     // The attempt is dropped with the run, so nothing has to be done.
@@ -181,6 +189,19 @@
         }
     }
 
+    /// Counts an attempt that a backend server rejected, and whether the plan gives up
+    /// for that reason.
+    fn count_rejection(&self, actions: &[PlanAction]) {
+        let label = ServiceLabel {
+            service: self.pool.service.id.to_string(),
+        };
+        let metrics = &self.ingress.metrics;
+        metrics.rejections.get_or_create(&label).inc();
+        if let [PlanAction::Fail(_)] = actions {
+            metrics.retries_denied.get_or_create(&label).inc();
+        }
+    }
+
     /// Returns the time after which the request is hedged; `None` for never.
     fn hedge_after(&self) -> Option<Duration> {
         match self.pool.service.hedge && !self.source.options.bulk {
