--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -128,6 +128,7 @@
                     .check(now, offer_key(from, offer), incarnation);
                 let reply = match status {
                     OfferStatus::Committed => OfferReply::Committed,
+                    OfferStatus::Answered => OfferReply::Answered,
                     OfferStatus::Restarted => OfferReply::Restarted,
                     _ => OfferReply::Refused(NotRun::Lapsed, ServerLoad::default()),
                 };
@@ -165,7 +166,7 @@
             }
             OfferStatus::Waiting => OfferReply::Waiting(load()),
             OfferStatus::Granted => OfferReply::Granted(self.incarnation),
-            OfferStatus::Committed => OfferReply::Committed,
+            OfferStatus::Committed | OfferStatus::Answered => OfferReply::Committed,
             OfferStatus::Restarted => OfferReply::Restarted,
             OfferStatus::Ended => OfferReply::Refused(NotRun::Lapsed, load()),
         };
@@ -263,7 +264,13 @@
             return misdirected();
         };
         match committed {
-            Ok(held) => server.dispatch(attempt, request, deadline, held).await,
+            Ok(held) => {
+                let answer = server.dispatch(attempt, request, deadline, held).await;
+                if attempt.from != self.view.vm {
+                    self.offers().record_answer(&key);
+                }
+                answer
+            }
             // The request arrived twice, and the other copy runs.
             Err(OfferStatus::Committed) => server.without_answer(EgressOutcome::Lost),
             Err(_) => server.not_run(NotRun::Lapsed),
@@ -302,6 +309,7 @@
         for (id, server) in self.servers.load().iter() {
             match table.server(id) {
                 Some(backend) if backend.vm == self.view.vm => {
+                    server.unlisted.store(false, Ordering::Release);
                     server.resize(backend.slots);
                     // An earlier configuration may have lacked the server.
                     match self.is_draining() || server.is_leaving() {
@@ -310,6 +318,7 @@
                     }
                 }
                 _ => {
+                    server.unlisted.store(true, Ordering::Release);
                     server.forget_leaving();
                     server.handle(QueueEvent::Drain);
                 }
@@ -395,6 +404,7 @@
         }
         EgressServer {
             slots: AtomicU64::new(u64::from(backend.slots.get())),
+            unlisted: AtomicBool::new(false),
             connections: ConnectionPool::new(
                 backend.address,
                 limit,
@@ -418,6 +428,7 @@
             evidence: ServerEvidence::new(self.incarnation.0),
             control: self.control.clone(),
             stall_timeout: self.stall_timeout,
+            tasks: Arc::clone(&self.tasks),
             replaced_until: AtomicU64::new(0),
             loaded_until: AtomicU64::new(0),
         }
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -4,7 +4,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -28,6 +28,7 @@
     edge::EdgeCodec,
     evidence::ServerEvidence,
     link::ConnectionPool,
+    task::TaskGroup,
     wire::{EgressOutcome, EgressReport, NotRun},
 };
 
@@ -48,6 +49,8 @@
 #[derive(Debug)]
 pub(super) struct EgressServer {
     pub(super) slots: AtomicU64,
+    /// Whether the table in force no longer lists the server.
+    pub(super) unlisted: AtomicBool,
     pub(super) connections: Arc<ConnectionPool>,
     pub(super) clock: MonoClock,
     pub(super) state: Mutex<QueueState>,
@@ -67,6 +70,8 @@
     pub(super) calls: Arc<Mutex<FailedCalls>>,
     pub(super) control: ControlSender,
     pub(super) stall_timeout: Duration,
+    /// Tasks that watch the bodies of answers.
+    pub(super) tasks: Arc<TaskGroup>,
     /// End of the time for which another server is assumed at the address.
     pub(super) replaced_until: AtomicU64,
     /// End of the time for which the server counts as loaded, as its load endpoint
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -243,6 +243,7 @@
                 deadline.min(started + Duration::from_millis(u64::from(millis)))
             }),
             deadline,
+            body_deadline,
             started,
             sent: token.as_ref().map(HeldToken::sent_mark).unwrap_or_default(),
         };
