--- a/crates/config/examples/two_years.rs
+++ b/crates/config/examples/two_years.rs
@@ -51,6 +51,7 @@
         Record::Zone(Zone {
             id: format!("zone-{n}").parse().unwrap(),
             region: format!("region-{}", n % 5).parse().unwrap(),
+            evacuated: false,
         })
     });
     add(&mut builder, "vms", vms, |n| {
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -193,6 +193,7 @@
                 let zone = Zone {
                     id,
                     region: region.name.clone(),
+                    evacuated: false,
                 };
                 let path = [
                     property("regions"),
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -18,6 +18,9 @@
     pub id: ZoneId,
     /// Region of the zone.
     pub region: RegionId,
+    /// Whether the zone is evacuated: its backend servers get no new requests.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub evacuated: bool,
 }
 
 /// A VM and the address of its daemon.
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -118,6 +118,16 @@
         self.zones.values()
     }
 
+    /// Returns the availability zone of a VM, or `None` if the VM is unknown.
+    pub fn zone_of(&self, vm: &VmId) -> Option<&Zone> {
+        self.zone(&self.vm(vm)?.zone)
+    }
+
+    /// Whether any availability zone is evacuated.
+    pub fn has_evacuations(&self) -> bool {
+        self.zones().any(|zone| zone.evacuated)
+    }
+
     /// Returns all VMs.
     pub fn vms(&self) -> impl Iterator<Item = &Arc<Vm>> {
         self.vms.iter().map(|(_, vm)| vm)
--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -60,6 +60,7 @@
             records.push(Record::Zone(Zone {
                 id: name(format!("zone-{zone}")),
                 region: name("region".to_owned()),
+                evacuated: false,
             }));
         }
         let mut vms = VmList {
