Zones: nothing new is sent to an evacuated zone

Callers saw no effect of an evacuation: the table had it, but the zone's backend servers went on getting requests.

The egress is the authority. It refuses offers for servers of an evacuated zone as not run when they arrive, when they get a slot and when the request is dispatched, and drains its queues when a table evacuates its zone. Requests in flight end. The ingress leaves such servers out of ordinary choices, canaries and last resorts, and out of the pool size that the floor is computed from; detectors don't count them as usable, and the prober leaves them alone. A request that an egress refuses for this reason keeps away from the whole zone: an ingress with an older table otherwise used up its ten offers at idle servers of that zone and refused the request although another zone had room. A service without any other server is refused at once with 503 and Retry-After, before the body is read and a token is taken.

The operator gets a log line for each change of the evacuated zones and of the services without a server, and the metrics `evacuated_zones` and `evacuated_services`.

Ruled out: refusing by the state of the queue alone, since a grant may be older than the evacuation.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 mod idempotence;
 mod plan;
 mod quantile;
+mod scope;
 
 pub use budget::RetryBudget;
 pub use choice::{Candidate, Distance, choose_server, expected_delay, keep_floor};
@@ -18,3 +19,4 @@
     AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, PlanAction, PlanEvent, PlanOptions,
 };
 pub use quantile::LatencyQuantile;
+pub use scope::{RequestScope, ServerPlace};
--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::{Request, Response, Version, body::Body, http::request::Parts};
 use ids::{FastMap, FastSet, MonoTime, ServerId};
-use route::{AttemptEnd, AttemptId};
+use route::{AttemptEnd, AttemptId, RequestScope};
 use tokio::sync::mpsc;
 
 use self::{
@@ -97,6 +97,8 @@
     pub body: Mutex<Option<ProxyBody>>,
     /// Servers that the request was committed to and that may have run it.
     pub committed_to: Mutex<Vec<ServerId>>,
+    /// Places that the request may be sent to.
+    pub scope: Mutex<RequestScope>,
     /// Shortest expected wait for a slot that an egress sent with a refusal.
     pub shortest_wait: Mutex<Option<Duration>>,
 }
@@ -385,6 +387,7 @@
                 match (reason, &server.connections) {
                     (NotRun::Leaving, Some(connections)) => connections.mark_leaving(),
                     (NotRun::Failing | NotRun::Misdirected, _) => server.record_gate(true),
+                    (NotRun::Evacuated, _) => self.exclude_zone_of(server),
                     _ => {}
                 }
                 AttemptResult::Ended(attempt_end(reason), Some(reason))
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -12,7 +12,7 @@
 use super::{RequestAttempt, canary::CanaryGuard, lock};
 use crate::{
     hop::SearchChannel,
-    pool::{ChoiceOptions, ServerChoice},
+    pool::{ChoiceOptions, ServerChoice, ServerState},
     wire::NotRun,
 };
 
@@ -194,8 +194,9 @@
     /// false if there is none.
     fn make_offer(&mut self, offers: &mut OpenOffers, id: OfferId, limits: OfferLimits) -> bool {
         let view = &self.ingress.view;
+        let scope = lock(&self.source.scope).clone();
         let canary = match limits.may_canary {
-            true => self.pool.choose_canary(view),
+            true => self.pool.choose_canary(view, &scope),
             false => None,
         };
         let is_canary = canary.is_some();
@@ -212,7 +213,7 @@
                 };
                 let mut tried = self.asked.clone();
                 tried.extend(lock(&self.source.committed_to).iter().cloned());
-                let chosen = self.pool.choose(view, &tried, options);
+                let chosen = self.pool.choose(view, &scope, &tried, options);
                 // A server that is considered failing may be chosen although it
                 // was tried before, so a second forced offer could repeat the
                 // first.
@@ -292,6 +293,10 @@
             OfferReply::Waiting(load) => choice.server.record_load(load, 0),
             OfferReply::Refused(reason, load) => {
                 choice.server.record_load(load, 0);
+                if *reason == NotRun::Evacuated {
+                    // The wait there says nothing about when a retry may succeed.
+                    return self.exclude_zone_of(&choice.server);
+                }
                 match (reason, &choice.server.connections) {
                     (NotRun::Leaving, Some(connections)) => connections.mark_leaving(),
                     (NotRun::Failing | NotRun::Misdirected, _) => choice.server.record_gate(true),
@@ -305,6 +310,15 @@
         }
     }
 
+    /// Keeps the request from the zone of a server whose daemon reports that the zone
+    /// is evacuated.
+    pub(super) fn exclude_zone_of(&self, server: &ServerState) {
+        let table = self.ingress.view.table();
+        if let Some(zone) = table.zone_of(&server.backend.vm) {
+            lock(&self.source.scope).exclude_zone(&zone.id);
+        }
+    }
+
     /// Records that the daemon on the VM of a server does not reply.
     fn record_silence(&self, id: OfferId) {
         if let Some(choice) = self.offers.get(&id) {
--- a/crates/serve/src/control/adopt.rs
+++ b/crates/serve/src/control/adopt.rs
@@ -197,6 +197,7 @@
         let table = self.parts.view.table();
         self.parts.egress.apply_table();
         self.detectors.update_pools(now);
+        self.report_evacuations();
         let vms: Vec<_> = table.vms().collect();
         let live = |vm: &VmId| self.parts.view.is_usable(vm);
         let members: Vec<CellMember> = vms
--- a/crates/serve/src/control/detect.rs
+++ b/crates/serve/src/control/detect.rs
@@ -149,7 +149,8 @@
         let spec = |state: &Arc<crate::pool::ServerState>| MemberSpec {
             server: state.backend.id.clone(),
             slots: state.backend.slots,
-            usable: self.view.is_usable(&state.backend.vm),
+            usable: self.view.is_usable(&state.backend.vm)
+                && !self.view.is_evacuated(&state.backend.vm),
         };
         let specs = pool.servers.iter().map(spec).collect();
         let options = detector_options(pool);
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod adopt;
 mod detect;
 mod dump;
+mod evacuation;
 mod event;
 mod follow;
 mod peers;
@@ -45,7 +46,7 @@
 };
 use adopt::ConfigSource;
 use detect::DetectorSet;
-use pull::pull_from;
+use evacuation::EvacuationReport;
 
 /// Interval between checks for connections that have been idle for too long.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
@@ -92,6 +93,7 @@
     limits: LimitNode,
     gossip: GossipNode,
     detectors: DetectorSet,
+    evacuations: EvacuationReport,
     /// Requests that wait for a token.
     pending_takes: FastMap<TakeId, (AccountId, TakeReply)>,
     next_take: u64,
@@ -135,6 +137,7 @@
             limits: LimitNode::new(vm, now, u64::from(rand::random::<u32>())),
             gossip,
             detectors,
+            evacuations: EvacuationReport::default(),
             pending_takes: FastMap::default(),
             next_take: 0,
             kept_deltas: VecDeque::new(),
@@ -201,6 +204,7 @@
             self.last_sweep = now;
             self.parts.pools.sweep_idle();
             self.parts.egress.sweep_idle();
+            self.report_used_services();
         }
         self.handle_limit_event(LimitEvent::Tick);
         self.detectors.tick(now);
@@ -432,16 +436,4 @@
             is_reader: Arc::clone(&self.is_reader),
         }
     }
-
-    /// Starts a task that fetches newer revisions from a peer.
-    fn start_pull(&self, from: &VmId) {
-        let Some(connections) = self.parts.pools.peer_connections(from) else {
-            return;
-        };
-        let request = self.pull_request();
-        let seal = self.parts.seal.clone();
-        let sender = self.parts.sender.clone();
-        self.tasks
-            .spawn(pull_from(connections, seal, request, sender));
-    }
 }
--- a/crates/serve/src/control/pull.rs
+++ b/crates/serve/src/control/pull.rs
@@ -7,6 +7,7 @@
 use ids::{Revision, VmId};
 use serde::{Deserialize, Serialize};
 
+use super::ControlLoop;
 use crate::{
     body::{BufferedBody, ProxyBody, buffer_body, empty_body, full_body},
     control::event::{ControlEvent, ControlSender},
@@ -134,3 +135,17 @@
         })
         .ok()
 }
+
+impl ControlLoop {
+    /// Starts a task that fetches newer revisions from a peer.
+    pub(super) fn start_pull(&self, from: &VmId) {
+        let Some(connections) = self.parts.pools.peer_connections(from) else {
+            return;
+        };
+        let request = self.pull_request();
+        let seal = self.parts.seal.clone();
+        let sender = self.parts.sender.clone();
+        self.tasks
+            .spawn(pull_from(connections, seal, request, sender));
+    }
+}
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -2,6 +2,7 @@
 //! requests that are committed to them.
 
 mod dispatch;
+mod evacuation;
 mod notice;
 mod probed;
 mod server;
@@ -73,6 +74,8 @@
     tasks: Arc<TaskGroup>,
     servers: ArcSwap<FastMap<ServerId, Arc<EgressServer>>>,
     draining: AtomicBool,
+    /// Whether the zone of this VM was evacuated in the last table that was applied.
+    evacuated: AtomicBool,
     incarnation: EgressIncarnation,
     control: ControlSender,
     stall_timeout: Duration,
@@ -100,6 +103,7 @@
             tasks,
             servers: ArcSwap::default(),
             draining: AtomicBool::new(false),
+            evacuated: AtomicBool::new(false),
             incarnation,
             control,
             stall_timeout,
@@ -226,6 +230,7 @@
         waiting: impl FnOnce(),
     ) -> Result<HeldSlot, NotRun> {
         let deadline = self.clock.now() + job.remaining();
+        self.check_evacuation()?;
         if server.is_replaced() {
             return Err(NotRun::Misdirected);
         }
@@ -242,9 +247,10 @@
                 acquired.await
             }
         };
-        let ticket = ticket.map_err(not_run_of)?;
-        // The key may have been withdrawn, or the server may have begun to
-        // fail, while the request waited.
+        let ticket = ticket.map_err(|refusal| self.refusal_reason(refusal))?;
+        // The zone may have been evacuated, the key withdrawn, or the server may
+        // have begun to fail, while the request waited.
+        self.check_evacuation()?;
         match job.key {
             Some(digest) if !self.view.table().has_key(&digest) => return Err(NotRun::Withdrawn),
             _ => {}
@@ -263,6 +269,8 @@
             return misdirected();
         };
         match committed {
+            // The slot is released. The grant may be older than the evacuation.
+            Ok(_) if self.is_evacuated() => server.not_run(NotRun::Evacuated),
             Ok(held) => server.dispatch(attempt, request, deadline, held).await,
             // The request arrived twice, and the other copy runs.
             Err(OfferStatus::Committed) => server.without_answer(EgressOutcome::Lost),
@@ -295,16 +303,18 @@
         }
     }
 
-    /// Applies a new configuration: changed slots, and servers that were
-    /// removed or have returned.
+    /// Applies a new configuration: changed slots, servers that were removed or
+    /// have returned, and an evacuation, which refuses what waits.
     pub fn apply_table(&self) {
         let table = self.view.table();
+        let evacuated = self.is_evacuated();
+        self.log_evacuation(evacuated);
         for (id, server) in self.servers.load().iter() {
             match table.server(id) {
                 Some(backend) if backend.vm == self.view.vm => {
                     server.resize(backend.slots);
                     // An earlier configuration may have lacked the server.
-                    match self.is_draining() || server.is_leaving() {
+                    match self.is_draining() || server.is_leaving() || evacuated {
                         true => server.handle(QueueEvent::Drain),
                         false => server.handle(QueueEvent::Resume),
                     }
@@ -421,22 +431,6 @@
             loaded_until: AtomicU64::new(0),
         }
     }
-
-    /// Returns the backend servers that were used, with the rules of their
-    /// services.
-    pub fn probed_servers(&self) -> Vec<ProbedServer> {
-        let table = self.view.table();
-        let servers = self.servers.load();
-        let probed = |(id, server): (&ServerId, &Arc<EgressServer>)| {
-            let backend = table.server(id)?;
-            let service = Arc::clone(table.service(&backend.service)?);
-            Some(ProbedServer {
-                server: Arc::clone(server),
-                service,
-            })
-        };
-        servers.iter().filter_map(probed).collect()
-    }
 }
 
 /// Locks the failed calls, whose holders never panic.
--- a/crates/serve/src/egress/probed.rs
+++ b/crates/serve/src/egress/probed.rs
@@ -6,9 +6,9 @@
 };
 
 use config::Service;
-use ids::MonoTime;
+use ids::{MonoTime, ServerId};
 
-use super::server::EgressServer;
+use super::{EgressHub, server::EgressServer};
 use crate::link::ConnectionPool;
 
 /// Time for which a report of full load from a load endpoint counts.
@@ -53,3 +53,25 @@
         self.server.loaded_until.store(until, Ordering::Relaxed);
     }
 }
+
+impl EgressHub {
+    /// Returns the backend servers that were used, with the rules of their
+    /// services; none while the zone is evacuated, because nothing may reach them
+    /// then.
+    pub fn probed_servers(&self) -> Vec<ProbedServer> {
+        if self.is_evacuated() {
+            return Vec::new();
+        }
+        let table = self.view.table();
+        let servers = self.servers.load();
+        let probed = |(id, server): (&ServerId, &Arc<EgressServer>)| {
+            let backend = table.server(id)?;
+            let service = Arc::clone(table.service(&backend.service)?);
+            Some(ProbedServer {
+                server: Arc::clone(server),
+                service,
+            })
+        };
+        servers.iter().filter_map(probed).collect()
+    }
+}
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -20,6 +20,7 @@
     http::request::Parts,
 };
 use ids::{Rank, ServiceId, WorkPriority};
+use route::RequestScope;
 
 use crate::{
     answer::Refusal,
@@ -281,6 +282,10 @@
         };
         let service = route.pick_service(rand::random());
         let pool = self.pools.pool(service).ok_or(Refusal::PoolDown)?;
+        // Refused at once, before a token is taken and the body is read.
+        if let Some(refusal) = pool.scope_refusal(&self.view, &RequestScope::default()) {
+            return Err(refusal);
+        }
         Ok(RequestContext {
             route,
             pool,
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -72,6 +72,11 @@
     pub connections: Gauge,
     /// Number of backend servers of this VM that have named a limit.
     pub limited_servers: Gauge,
+    /// Number of evacuated zones in the configuration in force.
+    pub evacuated_zones: Gauge,
+    /// Number of services that this daemon has used and whose backend servers are all
+    /// in evacuated zones.
+    pub evacuated_services: Gauge,
     /// Number of requests that wait for a slot at the egress.
     pub waiting: Gauge,
     /// Number of requests that hold a slot at the egress.
@@ -100,6 +105,8 @@
             ledger: ByteLedger::default(),
             connections: Gauge::default(),
             limited_servers: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            evacuated_services: Gauge::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
         };
@@ -202,6 +209,16 @@
             "Backend servers of this VM that have named a limit",
             self.limited_servers.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Evacuated zones in the configuration in force",
+            self.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuated_services",
+            "Services in use here whose backend servers are all in evacuated zones",
+            self.evacuated_services.clone(),
+        );
         registry.register("waiting", "Jobs that wait for a slot", self.waiting.clone());
         registry.register("running", "Jobs that hold a slot", self.running.clone());
     }
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -1,5 +1,8 @@
 //! Pool of the backend servers of one service, and the choice among them.
 
+mod scope;
+#[cfg(test)]
+mod scope_tests;
 mod server;
 mod table;
 
@@ -11,7 +14,7 @@
 use config::{PoolMembers, Service};
 use hop::SearchReach;
 use ids::{Percent, ServerId};
-use route::{Candidate, LatencyQuantile, RetryBudget, choose_server, keep_floor};
+use route::{Candidate, LatencyQuantile, RequestScope, RetryBudget, choose_server, keep_floor};
 
 pub use self::{server::ServerState, table::PoolTable};
 use crate::view::FleetView;
@@ -37,14 +40,19 @@
 impl PoolState {
     /// Returns a backend server on probation that is to get a canary, and marks
     /// the canary as sent.
-    pub fn choose_canary(&self, view: &FleetView) -> Option<Arc<ServerState>> {
-        let usable =
-            |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm) && !state.is_leaving();
-        let mut states = self.servers.iter().filter(usable);
-        states.find(|state| state.take_canary()).cloned()
+    pub fn choose_canary(
+        &self,
+        view: &FleetView,
+        scope: &RequestScope,
+    ) -> Option<Arc<ServerState>> {
+        let mut states = self.servers_in(view, scope).into_iter();
+        states
+            .find(|state| !state.is_leaving() && state.take_canary())
+            .cloned()
     }
 
-    /// Chooses a backend server that is not in `tried`.
+    /// Chooses a backend server in `scope` that is not in `tried`. Servers outside
+    /// the scope are not part of the pool that the floor applies to.
     ///
     /// A server that is considered failing, or whose daemon does not reply, is
     /// chosen only if there is no other. The choice is then marked as forced,
@@ -52,6 +60,7 @@
     pub fn choose(
         &self,
         view: &FleetView,
+        scope: &RequestScope,
         tried: &[ServerId],
         options: ChoiceOptions,
     ) -> Option<ServerChoice> {
@@ -60,8 +69,7 @@
             reach,
             zone_penalty,
         } = options;
-        let usable = |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm);
-        let states: Vec<&Arc<ServerState>> = self.servers.iter().filter(usable).collect();
+        let states = self.servers_in(view, scope);
         let fresh = |state: &&&Arc<ServerState>| {
             let tried = tried.contains(&state.backend.id);
             let leaving = state.notice().leaving;
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -94,6 +94,7 @@
             replay,
             body: Mutex::new(Some(body)),
             committed_to: Mutex::default(),
+            scope: Mutex::default(),
             shortest_wait: Mutex::default(),
         };
         Self {
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -152,6 +152,12 @@
         }
     }
 
+    /// Whether the availability zone of a VM is evacuated.
+    pub fn is_evacuated(&self, vm: &VmId) -> bool {
+        let table = self.table.load();
+        table.has_evacuations() && table.zone_of(vm).is_some_and(|zone| zone.evacuated)
+    }
+
     /// Returns whether a VM may get new work: the VM list has it as live, or
     /// there is no VM list yet.
     pub fn is_usable(&self, vm: &VmId) -> bool {
