--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod quantile;
 mod rejection;
+mod scope;
 mod urgency;
 
 pub use budget::RetryBudget;
@@ -21,4 +22,5 @@
 };
 pub use quantile::LatencyQuantile;
 pub use rejection::{aged_rejections, excess_rejections, is_avoided, usual_rejections};
+pub use scope::{RequestScope, ServerPlace};
 pub use urgency::RetryUrgency;
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -79,7 +79,7 @@
             }
             Some(Err(SendError::Withheld)) => {
                 held.ticket.sent = false;
-                self.not_run(NotRun::Leaving)
+                self.not_run(self.withdrawal().unwrap_or(NotRun::Leaving))
             }
             Some(Err(SendError::Unsent(_))) => {
                 held.ticket.sent = false;
@@ -112,7 +112,9 @@
         let started = self.clock.now();
         // The server may have begun to leave while the request was on its way or
         // waited for a connection.
-        let sent = self.connections.send_if(request, || !self.is_withdrawn());
+        let sent = self
+            .connections
+            .send_if(request, || self.withdrawal().is_none());
         tokio::pin!(sent);
         // Times at which the request counts as slow and then as stuck. The next
         // one is last.
--- a/crates/serve/src/egress/notice.rs
+++ b/crates/serve/src/egress/notice.rs
@@ -4,7 +4,7 @@
 use std::{sync::atomic::Ordering, time::Duration};
 
 use admit::QueueEvent;
-use hop::ServerNotice;
+use hop::{NotRun, ServerNotice};
 use ids::MonoTime;
 
 use super::server::EgressServer;
@@ -105,10 +105,16 @@
         self.known_notice().at(self.clock.now()).leaving
     }
 
-    /// Whether the server must get no request any more: it is no longer listed, or
-    /// has said that it is leaving.
-    pub(super) fn is_withdrawn(&self) -> bool {
-        self.unlisted.load(Ordering::Acquire) || self.is_leaving()
+    /// Returns why the server must get no new request, if that is so: its zone is
+    /// evacuated, it is no longer listed, or it has said that it is leaving.
+    pub(super) fn withdrawal(&self) -> Option<NotRun> {
+        match self.evacuated.load(Ordering::Acquire) {
+            true => Some(NotRun::Evacuated),
+            false if self.unlisted.load(Ordering::Acquire) || self.is_leaving() => {
+                Some(NotRun::Leaving)
+            }
+            false => None,
+        }
     }
 
     /// Forgets that the server was leaving, since it is no longer listed. If it
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -51,6 +51,8 @@
     pub(super) slots: AtomicU64,
     /// Whether the table in force no longer lists the server.
     pub(super) unlisted: AtomicBool,
+    /// Whether the table in force evacuates the zone of this VM.
+    pub(super) evacuated: AtomicBool,
     pub(super) connections: Arc<ConnectionPool>,
     pub(super) clock: MonoClock,
     pub(super) state: Mutex<QueueState>,
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -1,5 +1,8 @@
 //! Pool of the backend servers of one service, and the choice among them.
 
+mod scope;
+#[cfg(test)]
+mod scope_tests;
 mod server;
 mod table;
 
@@ -12,8 +15,8 @@
 use hop::SearchReach;
 use ids::{Percent, ServerId};
 use route::{
-    Candidate, LatencyQuantile, RetryBudget, choose_server, excess_rejections, is_avoided,
-    keep_floor, usual_rejections,
+    Candidate, LatencyQuantile, RequestScope, RetryBudget, choose_server, excess_rejections,
+    is_avoided, keep_floor, usual_rejections,
 };
 
 pub use self::{server::ServerState, table::PoolTable};
@@ -51,14 +54,19 @@
 
     /// Returns a backend server on probation that is to get a canary, and marks
     /// the canary as sent.
-    pub fn choose_canary(&self, view: &FleetView) -> Option<Arc<ServerState>> {
-        let usable =
-            |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm) && !state.is_leaving();
-        let mut states = self.servers.iter().filter(usable);
-        states.find(|state| state.take_canary()).cloned()
+    pub fn choose_canary(
+        &self,
+        view: &FleetView,
+        scope: &RequestScope,
+    ) -> Option<Arc<ServerState>> {
+        let mut states = self.servers_in(view, scope).into_iter();
+        states
+            .find(|state| !state.is_leaving() && state.take_canary())
+            .cloned()
     }
 
-    /// Chooses a backend server that is not in `tried`.
+    /// Chooses a backend server in `scope` that is not in `tried`. Servers outside
+    /// the scope are not part of the pool that the floor applies to.
     ///
     /// A server that rejects much more than its peers is chosen only as a last resort
     /// and before the failing ones.
@@ -69,6 +77,7 @@
     pub fn choose(
         &self,
         view: &FleetView,
+        scope: &RequestScope,
         tried: &[ServerId],
         options: ChoiceOptions,
     ) -> Option<ServerChoice> {
@@ -78,8 +87,7 @@
             zone_penalty,
             last_resort,
         } = options;
-        let usable = |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm);
-        let states: Vec<&Arc<ServerState>> = self.servers.iter().filter(usable).collect();
+        let states = self.servers_in(view, scope);
         let rejections = PoolRejections::new(&states);
         let fresh = |state: &&&Arc<ServerState>| {
             let tried = tried.contains(&state.backend.id);
