The configuration carries the limits of callers' connections

The users' resource of type limits was ignored, so nothing bounded what the users meant to bound (review/extra/idle). Nothing reads the record yet.

The rate of accounts without a limit moves to config, which knows them by Account::is_limited.

--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -232,6 +232,42 @@
     pub rank: Option<Rank>,
 }
 
+/// Rate of accounts without a limit, in requests per second; far above what a fleet
+/// serves.
+const UNLIMITED_RATE: u64 = 10_000_000;
+
+impl Account {
+    /// Returns the rate and the burst of an account without a limit.
+    pub fn unlimited() -> (TokenRate, TokenAmount) {
+        (
+            TokenRate::per_second(UNLIMITED_RATE),
+            TokenAmount::whole(UNLIMITED_RATE),
+        )
+    }
+
+    /// Whether the account has a limit. Requests of one without a limit need no
+    /// tokens.
+    pub fn is_limited(&self) -> bool {
+        self.rate.as_f64() < UNLIMITED_RATE as f64
+    }
+}
+
+/// Limits of callers' connections. The settings of a daemon apply instead of a
+/// missing one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct ClientLimits {
+    /// Maximum size of the head of a request, in bytes.
+    pub head_bytes: Option<u32>,
+    /// Maximum size of the body of a request, in bytes.
+    pub body_bytes: Option<u64>,
+    /// Maximum time from the first byte of a head to its last, in milliseconds.
+    pub head_timeout_ms: Option<u32>,
+    /// Maximum time that a connection may be idle between requests, in
+    /// milliseconds.
+    pub idle_timeout_ms: Option<u32>,
+}
+
 /// A caller's key, stored only as a digest.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct CallerKey {
--- a/crates/config/src/pack.rs
+++ b/crates/config/src/pack.rs
@@ -112,7 +112,7 @@
     match record {
         Record::Zone(_) | Record::Vm(_) => "fleet",
         Record::Server(_) => "servers",
-        Record::Service(_) | Record::Route(_) => "rules",
+        Record::Service(_) | Record::Route(_) | Record::Limits(_) => "rules",
         Record::Account(_) => "accounts",
         Record::Key(_) => "keys",
     }
--- a/crates/config/src/record.rs
+++ b/crates/config/src/record.rs
@@ -5,7 +5,7 @@
 use ids::{AccountId, ServerId, ServiceId, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::{Account, Backend, CallerKey, KeyDigest, Route, Service, Vm, Zone};
+use crate::{Account, Backend, CallerKey, ClientLimits, KeyDigest, Route, Service, Vm, Zone};
 
 /// One unit of the configuration.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -25,6 +25,8 @@
     Account(Account),
     /// A caller's key.
     Key(CallerKey),
+    /// Limits of callers' connections; at most one.
+    Limits(ClientLimits),
 }
 
 /// Identity of a record, unique within a configuration.
@@ -45,6 +47,8 @@
     Account(AccountId),
     /// A caller's key, by its digest.
     Key(KeyDigest),
+    /// Limits of callers' connections.
+    Limits,
 }
 
 impl Record {
@@ -58,6 +62,7 @@
             Self::Route(route) => RecordId::Route(route.host.clone(), route.prefix.clone()),
             Self::Account(account) => RecordId::Account(account.id.clone()),
             Self::Key(key) => RecordId::Key(key.digest),
+            Self::Limits(_) => RecordId::Limits,
         }
     }
 
@@ -77,6 +82,7 @@
             Self::Route(host, prefix) => write!(f, "route {host}{prefix}"),
             Self::Account(id) => write!(f, "account {id}"),
             Self::Key(digest) => write!(f, "key with digest {digest}"),
+            Self::Limits => f.write_str("limits of callers' connections"),
         }
     }
 }
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -10,8 +10,8 @@
 use ids::{AccountId, Revision, ServerId, ServiceId, VmId, ZoneId};
 
 use crate::{
-    Account, Backend, CallerKey, ConfigError, Delta, KeyDigest, PackedMap, PoolMembers, Record,
-    RecordId, Route, Service, ShardMap, StateDigest, Vm, Zone,
+    Account, Backend, CallerKey, ClientLimits, ConfigError, Delta, KeyDigest, PackedMap,
+    PoolMembers, Record, RecordId, Route, Service, ShardMap, StateDigest, Vm, Zone,
 };
 
 /// Host of routes that match any host.
@@ -32,6 +32,7 @@
     longest_prefix: usize,
     accounts: PackedMap<Account>,
     keys: PackedMap<CallerKey>,
+    limits: Option<ClientLimits>,
 }
 
 impl ConfigTable {
@@ -74,6 +75,16 @@
         self.accounts.get(id.as_str())
     }
 
+    /// Whether there is any client account.
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// Returns the limits of callers' connections, if the configuration has any.
+    pub fn limits(&self) -> Option<&ClientLimits> {
+        self.limits.as_ref()
+    }
+
     /// Returns a service.
     ///
     /// Services that occur only in the inventory have default rules.
@@ -149,6 +160,7 @@
             .chain(self.routes.iter().map(Record::Route))
             .chain(self.accounts().map(Record::Account))
             .chain(self.keys.iter().map(Record::Key))
+            .chain(self.limits.map(Record::Limits))
             .collect()
     }
 
@@ -257,6 +269,7 @@
             }
             Record::Account(account) => table.accounts.insert(&account),
             Record::Key(key) => table.keys.insert(&key),
+            Record::Limits(limits) => table.limits = Some(limits),
         }
     }
 
@@ -282,6 +295,7 @@
             RecordId::Route(host, prefix) => table.routes.remove((host, prefix)).map(Record::Route),
             RecordId::Account(id) => table.accounts.remove(id.as_str()).map(Record::Account),
             RecordId::Key(digest) => table.keys.remove(*digest).map(Record::Key),
+            RecordId::Limits => table.limits.take().map(Record::Limits),
         };
         if let Some(record) = old {
             self.table.digest.remove(&record.to_bytes());
