Requests need no key without accounts, and no token without a limit

A configuration without any account answered 401 to every request of a keyed route, although nobody can have a key. An account without a limit took tokens of a very high rate, so its requests got 503 'no rate tokens within reach' right after a start and while the homes of its tokens restarted.

The ingress asks for a key only if the table has accounts, and takes tokens only for accounts with a limit. A request without an account on a keyed route is a customer's and no nested call: whether a request is one now follows from the access of its route.

--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -143,8 +143,8 @@
     }
 
     /// Whether the backend server on this VM may have made the request while it
-    /// ran another one. Such calls have no client account, and they occur only
-    /// on a VM that has a backend server.
+    /// ran another one. Such calls use open routes, and they occur only on a VM
+    /// that has a backend server.
     fn may_be_nested_call(&self, trace: &RequestTrace) -> bool {
         self.local_service.is_some() && trace.is_open()
     }
@@ -208,11 +208,14 @@
         let body_deadline = metadata.timeout.map(|timeout| started + timeout);
         let account = context.caller.as_ref().map(|(_, account)| &account.id);
         let revision = self.view.table().revision().get();
-        trace.record_admission(&context.pool.service.id, account, revision);
+        let access = context.route.access;
+        trace.record_admission(&context.pool.service.id, account, access, revision);
         let (body, replay) = self.buffer_small_body(body).await?;
         let token = match &context.caller {
-            Some((_, account)) => Some(self.limiter.take(&account.id).await?),
-            None => None,
+            Some((_, account)) if account.is_limited() => {
+                Some(self.limiter.take(&account.id).await?)
+            }
+            _ => None,
         };
         let route = &context.route;
         let account = context.caller.as_ref().map(|(_, account)| account);
@@ -269,6 +272,8 @@
             .ok_or(Refusal::NoRoute)?;
         let caller = match route.access {
             Access::Open => None,
+            // Without accounts, there is no key that a caller could have.
+            Access::Keyed if !table.has_accounts() => None,
             Access::Keyed if self.view.is_isolated() => return Err(Refusal::Isolated),
             Access::Keyed => {
                 let digest = self
@@ -290,13 +295,13 @@
 
     /// Returns the rank of a request among those that wait for a slot.
     ///
-    /// Requests without a client account on a VM with a backend server are
-    /// calls made by requests that already run and hold a slot elsewhere.
-    /// Therefore they go first.
+    /// Requests on open routes on a VM with a backend server are calls made by
+    /// requests that already run and hold a slot elsewhere. Therefore they go
+    /// first.
     fn queue_rank(&self, route: &Route, account: Option<&Arc<Account>>) -> Rank {
         match account {
             Some(account) => account.rank.unwrap_or(route.terms.rank),
-            None if self.local_service.is_some() => Rank(0),
+            None if self.local_service.is_some() && route.access == Access::Open => Rank(0),
             None => route.terms.rank,
         }
     }
--- a/crates/serve/src/trail.rs
+++ b/crates/serve/src/trail.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use config::Access;
 use ids::{AccountId, ServerId, ServiceId};
 
 /// Maximum number of steps that are kept of one request.
@@ -27,6 +28,8 @@
 struct TraceState {
     service: Option<ServiceId>,
     account: Option<AccountId>,
+    /// Access of the route.
+    access: Option<Access>,
     revision: u64,
     steps: Vec<TraceStep>,
 }
@@ -63,23 +66,24 @@
         }
     }
 
-    /// Whether the request was admitted without a client account.
+    /// Whether the request was admitted on an open route.
     pub fn is_open(&self) -> bool {
-        let state = self.lock();
-        state.service.is_some() && state.account.is_none()
+        self.lock().access == Some(Access::Open)
     }
 
-    /// Records the service and the client account with which the request was
-    /// admitted, and the revision of the configuration.
+    /// Records the service, the client account and the access of the route with
+    /// which the request was admitted, and the revision of the configuration.
     pub fn record_admission(
         &self,
         service: &ServiceId,
         account: Option<&AccountId>,
+        access: Access,
         revision: u64,
     ) {
         let mut state = self.lock();
         state.service = Some(service.clone());
         state.account = account.cloned();
+        state.access = Some(access);
         state.revision = revision;
     }
 
