--- a/crates/serve/src/pool/scope_tests.rs
+++ b/crates/serve/src/pool/scope_tests.rs
@@ -114,6 +114,7 @@
             idempotent: true,
             reach,
             zone_penalty: Duration::from_millis(10),
+            last_resort: false,
         };
         let choices = (0..CHOICES).filter_map(|_| pool.choose(&self.view, scope, &[], options));
         let mut names: Vec<(String, bool)> = choices
