Rate of a cold backend server as a state machine

A backend server that has just started crashes when it gets far more requests a second than it can handle while it is cold. Nothing in the proxy bounded that rate.

admit::ColdRate is a token bucket without I/O for what one egress sends to a cold server. A request takes its token when it is sent, and holds a reservation from its arrival on, so grants that are used late and at once keep to the rate too. The sustained rate is that of the service, the burst is half of what a second may have beyond it, and a spell begins with an empty bucket at half the rate. A server is cold by the notice in the configuration, for the time after its first listing, and for a second after a start or a suspension of the daemon. Nothing uses it yet.

Ruled out: spacing requests like a limit that a server names (DispatchPace), which lets them wait in the queue of the slow server although others have room.

Tests in crates/admit/tests/cold_rate.rs; every_second_bounded plays 400 random orders of bursts, late grants, spells and pauses against the bound. There was no earlier behavior that they could fail on.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -7,7 +7,10 @@
 //!
 //! Client accounts share slot time and not the number of requests: an account
 //! whose requests take ten times as long gets a tenth as many.
+//!
+//! [`ColdRate`] bounds what is sent to a backend server that is cold after its start.
 
+mod cold;
 mod demand;
 mod flow;
 mod job;
@@ -15,5 +18,6 @@
 mod pace;
 mod queue;
 
+pub use cold::{ColdDecision, ColdEvent, ColdLimit, ColdRate};
 pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal};
 pub use queue::{QueueLimits, QueueReport, SlotQueue};
