--- a/crates/config/examples/two_years.rs
+++ b/crates/config/examples/two_years.rs
@@ -74,6 +74,7 @@
             address: ([10, 0, (n % vms / 250) as u8, (n % vms % 250) as u8], 9_000).into(),
             slots: Slots(4),
             connections: 300,
+            cold: false,
         })
     });
     add(&mut builder, "routes", routes, |n| {
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -10,6 +10,8 @@
 const MAX_BURST: u64 = 100_000_000;
 /// Maximum deadline of a service, in milliseconds.
 const MAX_DEADLINE_MS: u32 = 3_600_000;
+/// Maximum time for which a backend server is cold after a start, in milliseconds.
+const MAX_COLD_MS: u32 = 3_600_000;
 
 /// Whether a path, if given, is valid in the request line of an HTTP request.
 fn is_path(path: &Option<Box<str>>) -> bool {
@@ -54,6 +56,16 @@
         Record::Service(service) if !is_path(&service.load_path) => {
             "load_path must be a path that starts with `/`, without spaces".to_owned()
         }
+        Record::Service(service)
+            if service
+                .cold
+                .is_some_and(|cold| cold.after_start_ms > MAX_COLD_MS) =>
+        {
+            format!("cold.after_start_ms must be 0 to {MAX_COLD_MS}")
+        }
+        Record::Service(service) if service.cold.is_some_and(|cold| cold.rate.as_f64() <= 0.0) => {
+            "cold.rate must be above 0; remove `cold` for a service without it".to_owned()
+        }
         Record::Route(route) if !route.prefix.starts_with('/') => {
             "prefix must start with `/`".to_owned()
         }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -228,6 +228,7 @@
                 address: server.address,
                 slots,
                 connections: server.connections.unwrap_or(DEFAULT_CONNECTIONS),
+                cold: false,
             };
             let path = [
                 vm_path.as_slice(),
@@ -321,6 +322,7 @@
         hedge: rule.hedge.unwrap_or(defaults.hedge),
         health_path: rule.health_path.clone(),
         load_path: rule.load_path.clone(),
+        cold: None,
         id: defaults.id,
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -29,8 +29,8 @@
 pub use jsonc::parse_document;
 pub use members::PoolMembers;
 pub use model::{
-    Access, Account, Backend, CallerKey, DetectionMode, Route, RouteTerms, Service, TrafficClass,
-    Vm, VmEntry, VmList, VmState, WeightedService, Zone,
+    Access, Account, Backend, CallerKey, ColdTerms, DetectionMode, Route, RouteTerms, Service,
+    TrafficClass, Vm, VmEntry, VmList, VmState, WeightedService, Zone,
 };
 pub use pack::{
     Changes, Delta, MAX_VALUE_BYTES, Manifest, PackedValue, PartRef, delta_between, diff_records,
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -4,10 +4,10 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use ids::{
-    AccountId, KeyId, Percent, RackId, Rank, RegionId, Revision, ServerId, ServiceId, Slots,
-    TokenAmount, TokenRate, VmId, Weight, ZoneId,
+    AccountId, KeyId, Percent, RackId, Rank, RegionId, RequestRate, Revision, ServerId, ServiceId,
+    Slots, TokenAmount, TokenRate, VmId, Weight, ZoneId,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer, ser::SerializeStruct};
 
 use crate::{KeyDigest, PackedRecord};
 
@@ -35,7 +35,7 @@
 }
 
 /// A backend server.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
 pub struct Backend {
     /// Name of the backend server.
     pub id: ServerId,
@@ -49,6 +49,46 @@
     pub slots: Slots,
     /// Maximum number of connections that the backend server accepts.
     pub connections: u32,
+    /// Whether the backend server is cold after a start, and takes only the rate of
+    /// its service's [`ColdTerms`].
+    #[serde(default)]
+    pub cold: bool,
+}
+
+impl Serialize for Backend {
+    /// Leaves out `cold` in text if it is false, so that the digests of other servers
+    /// are those of earlier versions. The packed form has all fields.
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let skip_cold = serializer.is_human_readable() && !self.cold;
+        let mut fields = serializer.serialize_struct("Backend", 7 - usize::from(skip_cold))?;
+        fields.serialize_field("id", &self.id)?;
+        fields.serialize_field("vm", &self.vm)?;
+        fields.serialize_field("service", &self.service)?;
+        fields.serialize_field("address", &self.address)?;
+        fields.serialize_field("slots", &self.slots)?;
+        fields.serialize_field("connections", &self.connections)?;
+        match skip_cold {
+            true => fields.skip_field("cold")?,
+            false => fields.serialize_field("cold", &self.cold)?,
+        }
+        fields.end()
+    }
+}
+
+/// What a backend server of a service takes after its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ColdTerms {
+    /// Time for which it is cold after a start, in milliseconds.
+    pub after_start_ms: u32,
+    /// Rate that it takes from the whole fleet while it is cold.
+    pub rate: RequestRate,
+}
+
+impl ColdTerms {
+    /// Time for which a backend server is cold after a start.
+    pub fn after_start(&self) -> Duration {
+        Duration::from_millis(u64::from(self.after_start_ms))
+    }
 }
 
 /// What a service prefers while evidence against a backend server is weak: few
@@ -86,6 +126,9 @@
     /// Path of the load endpoint that the backend servers provide.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub load_path: Option<Box<str>>,
+    /// What a backend server takes after its start, if that is less than later.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdTerms>,
 }
 
 impl Service {
@@ -100,6 +143,7 @@
             hedge: true,
             health_path: None,
             load_path: None,
+            cold: None,
         }
     }
 
--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -89,6 +89,7 @@
                     address: *address,
                     slots: Slots(service.slots),
                     connections: 350,
+                    cold: false,
                 }));
                 next_vm += 1;
             }
