Cold backend servers get no more than their rate from the whole fleet

A backend server that had just started, or whose zone came back, got its full share of the load at once, and crashes far above the rate that it handles while it is cold.

The egress now bounds what it sends to a cold server with admit::ColdRate: requests, trials, canaries, forced offers and probes. What does not fit is refused at once as not run (NotRun::Cold) and goes to another server; an ingress prefers warm servers after such a refusal, because its own zone may be cold as a whole. A server counts as cold by its entry, for the time after a start when it is listed for the first time, again or at another address, and for a second after a start or a suspension of the daemon. Ingresses draw cold servers by a smaller weight and keep what they know of a server when it becomes cold or warm. The slow limit of a cold server is three times as long, and its service times do not enter the usual ones; errors, lost connections and broken answers count as before.

NotRun::Evacuated is added here as well, so that the numbers on the wire agree with the part that uses it.

Ruled out: a refund for requests that are answered with 421, since the count would then fall after the request was received; a scan of all servers for new ones at each change, which takes a third of a microsecond per server (the deltas name them).

--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -51,6 +51,10 @@
     Lapsed,
     /// The rate that the backend server has named leaves no room in time.
     Limited,
+    /// The backend server is cold, and the request does not fit its rate.
+    Cold,
+    /// The availability zone of the backend server is evacuated.
+    Evacuated,
 }
 
 impl fmt::Display for NotRun {
@@ -66,6 +70,8 @@
             Self::Failing => "failing",
             Self::Lapsed => "lapsed",
             Self::Limited => "limited",
+            Self::Cold => "cold",
+            Self::Evacuated => "evacuated",
         })
     }
 }
--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -69,6 +69,8 @@
         self.metrics
             .limited_servers
             .set(sum(|report| u32::from(report.limit.is_some())));
+        let cold = self.egress.cold_servers() as i64;
+        self.metrics.cold_servers.set(cold);
         self.metrics
             .revision
             .set(self.view.table().revision().get() as i64);
--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -74,6 +74,8 @@
     replied: FastSet<OfferId>,
     /// Whether an offer was made to a server that is considered failing.
     forced: bool,
+    /// Whether a server refused an offer because it is cold.
+    refused_cold: bool,
     /// Reports the result if the request is a canary.
     canary: Option<CanaryGuard<'a>>,
     /// Number of the attempt, and where it reports that it has stalled.
@@ -149,6 +151,7 @@
             offers: FastMap::default(),
             replied: FastSet::default(),
             forced: false,
+            refused_cold: false,
             canary: None,
             stall,
         }
@@ -385,6 +388,7 @@
                 match (reason, &server.connections) {
                     (NotRun::Leaving, Some(connections)) => connections.mark_leaving(),
                     (NotRun::Failing | NotRun::Misdirected, _) => server.record_gate(true),
+                    (NotRun::Cold, _) => server.record_cold_refusal(),
                     _ => {}
                 }
                 AttemptResult::Ended(attempt_end(reason), Some(reason))
@@ -414,13 +418,14 @@
         }
     }
 
-    /// Sends the evidence of an egress and the service time to the control loop.
+    /// Sends the evidence of an egress and the service time to the control loop. The
+    /// service times of a cold server say nothing about the usual ones.
     fn report_evidence(&self, server: &ServerState, report: &EgressReport, service: Duration) {
         self.ingress.control.try_send(ControlEvent::Reported {
             service: self.pool.service.id.clone(),
             server: server.backend.id.clone(),
             counts: report.load.counts,
-            service_time: (!service.is_zero()).then_some(service),
+            service_time: (!service.is_zero() && !server.is_cold()).then_some(service),
         });
     }
 
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -209,6 +209,7 @@
                     idempotent: self.options().idempotent,
                     reach: limits.reach,
                     zone_penalty: self.zone_patience(),
+                    avoids_cold: self.refused_cold,
                 };
                 let mut tried = self.asked.clone();
                 tried.extend(lock(&self.source.committed_to).iter().cloned());
@@ -295,6 +296,10 @@
                 match (reason, &choice.server.connections) {
                     (NotRun::Leaving, Some(connections)) => connections.mark_leaving(),
                     (NotRun::Failing | NotRun::Misdirected, _) => choice.server.record_gate(true),
+                    (NotRun::Cold, _) => {
+                        choice.server.record_cold_refusal();
+                        self.refused_cold = true;
+                    }
                     _ => {}
                 }
                 let wait = Duration::from_micros(load.delay_us);
--- a/crates/serve/src/control/adopt.rs
+++ b/crates/serve/src/control/adopt.rs
@@ -137,9 +137,11 @@
         source: ConfigSource,
     ) {
         let revision = table.revision();
+        let before = self.parts.view.table();
         if !self.parts.view.adopt_table(table) {
             return;
         }
+        self.parts.egress.record_listed(&before, &deltas);
         log::info!(
             source = source.name(),
             age_ms = self.gossip.age(self.now()).as_millis() as u64;
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -207,6 +207,7 @@
         self.handle_gossip_event(GossipEvent::Tick);
         let contact = self.has_contact(now);
         let freshness = self.gossip.freshness(now, contact);
+        self.parts.egress.tick(freshness == Freshness::Fresh);
         let refuse = self.parts.settings.load().policy.refuse_isolated;
         self.parts
             .view
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -235,7 +235,8 @@
             clock,
             Arc::clone(&connections),
             control.clone(),
-            settings.budgets.stall_timeout(),
+            Arc::clone(&live_settings),
+            Arc::clone(&metrics),
             Arc::clone(&codec),
         ));
         let seal = HeaderSeal::new(settings.secret_bytes());
--- a/crates/serve/src/edge.rs
+++ b/crates/serve/src/edge.rs
@@ -76,6 +76,12 @@
     /// Returns what the backend server says about itself in an answer.
     fn read_notice(&self, answer: &response::Parts) -> ServerNotice;
 
+    /// Returns for how long a backend server stays cold, if an answer of its health
+    /// endpoint says so.
+    fn read_cold(&self, _headers: &HeaderMap) -> Option<Duration> {
+        None
+    }
+
     /// Returns the id that the caller gave to a request, if there is one.
     fn request_id(&self, headers: &HeaderMap) -> Option<HeaderValue>;
 
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -99,10 +99,15 @@
         tokio::pin!(sent);
         // Times at which the request counts as slow and then as stuck. The next
         // one is last.
-        let mut limits = match slow_limit.is_zero() {
-            true => Vec::new(),
-            false => vec![started + slow_limit * STUCK_FACTOR, started + slow_limit],
+        let limits_at = |factor: u32| match slow_limit.saturating_mul(factor) {
+            Duration::ZERO => Vec::new(),
+            limit => vec![
+                started + limit.saturating_mul(STUCK_FACTOR),
+                started + limit,
+            ],
         };
+        let mut factor = self.slow_factor();
+        let mut limits = limits_at(factor);
         let mut overdue = false;
         loop {
             let wake = limits.last().map_or(deadline, |limit| deadline.min(*limit));
@@ -112,9 +117,19 @@
                     if self.clock.now() >= deadline {
                         return (None, overdue);
                     }
-                    limits.pop();
-                    self.record_overdue(overdue);
-                    overdue = true;
+                    match self.slow_factor() {
+                        // The server is known to be cold since the request was sent.
+                        later if later > factor => {
+                            factor = later;
+                            limits = limits_at(factor);
+                            limits.truncate(if overdue { 1 } else { 2 });
+                        }
+                        _ => {
+                            limits.pop();
+                            self.record_overdue(overdue);
+                            overdue = true;
+                        }
+                    }
                 }
             }
         }
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -1,6 +1,7 @@
 //! The egress: queues offers for the backend servers of this VM and runs the
 //! requests that are committed to them.
 
+mod cold;
 mod dispatch;
 mod notice;
 mod probed;
@@ -15,7 +16,7 @@
     time::Duration,
 };
 
-use admit::{QueueEvent, QueueLimits, QueueRefusal, QueueReport, SlotQueue};
+use admit::{ColdEvent, QueueEvent, QueueLimits, QueueRefusal, QueueReport, SlotQueue};
 use arc_swap::ArcSwap;
 use config::Backend;
 use health::{FailedCalls, OutcomeCounts};
@@ -28,7 +29,7 @@
 use tokio::sync::{Notify, oneshot};
 
 pub use self::probed::ProbedServer;
-use self::{notice::NoticeSource, server::EgressServer, slot::HeldSlot};
+use self::{cold::ColdState, notice::NoticeSource, server::EgressServer, slot::HeldSlot};
 use crate::{
     body::ProxyBody,
     clock::MonoClock,
@@ -39,6 +40,8 @@
     hop::HopTransport,
     ledger::StreamMeter,
     link::ConnectionPool,
+    metrics::MetricSet,
+    settings::LiveSettings,
     task::TaskGroup,
     view::FleetView,
     wire::{Attempt, EgressOutcome, EgressReport, NotRun},
@@ -75,9 +78,13 @@
     draining: AtomicBool,
     incarnation: EgressIncarnation,
     control: ControlSender,
+    settings: LiveSettings,
+    metrics: Arc<MetricSet>,
     stall_timeout: Duration,
     codec: Arc<dyn EdgeCodec>,
     offers: Mutex<EgressOffers>,
+    /// Time of the latest tick, by which a suspension of the process is noticed.
+    last_tick: AtomicU64,
     /// Failed calls that requests on this VM made to other services.
     calls: Arc<Mutex<FailedCalls>>,
 }
@@ -90,10 +97,13 @@
         clock: MonoClock,
         tasks: Arc<TaskGroup>,
         control: ControlSender,
-        stall_timeout: Duration,
+        settings: LiveSettings,
+        metrics: Arc<MetricSet>,
         codec: Arc<dyn EdgeCodec>,
     ) -> Self {
         let incarnation = EgressIncarnation(rand::random());
+        let stall_timeout = settings.load().budgets.stall_timeout();
+        let last_tick = AtomicU64::new(clock.now().as_nanos());
         Self {
             view,
             clock,
@@ -102,9 +112,12 @@
             draining: AtomicBool::new(false),
             incarnation,
             control,
+            settings,
+            metrics,
             stall_timeout,
             codec,
             offers: Mutex::new(OfferTable::new(incarnation)),
+            last_tick,
             calls: Arc::default(),
         }
     }
@@ -232,6 +245,7 @@
         if server.refuses_early(job) {
             return Err(NotRun::Failing);
         }
+        let cold = self.reserve_cold(server)?;
         let acquired = server.acquire(job, deadline);
         tokio::pin!(acquired);
         let ticket = tokio::select! {
@@ -244,13 +258,14 @@
         };
         let ticket = ticket.map_err(not_run_of)?;
         // The key may have been withdrawn, or the server may have begun to
-        // fail, while the request waited.
+        // fail or become cold, while the request waited.
         match job.key {
             Some(digest) if !self.view.table().has_key(&digest) => return Err(NotRun::Withdrawn),
             _ => {}
         }
+        let cold = self.renew_cold(cold)?;
         let pass = server.pass_gate(job)?;
-        Ok(HeldSlot { ticket, pass })
+        Ok(HeldSlot { ticket, pass, cold })
     }
 
     /// Runs a request whose offer holds a slot, or returns why it did not run.
@@ -263,7 +278,14 @@
             return misdirected();
         };
         match committed {
-            Ok(held) => server.dispatch(attempt, request, deadline, held).await,
+            Ok(mut held) => match self.send_cold(&mut held.cold) {
+                Ok(()) => server.dispatch(attempt, request, deadline, held).await,
+                Err(reason) => {
+                    // Releases the slot before the load is reported.
+                    drop(held);
+                    server.not_run(reason)
+                }
+            },
             // The request arrived twice, and the other copy runs.
             Err(OfferStatus::Committed) => server.without_answer(EgressOutcome::Lost),
             Err(_) => server.not_run(NotRun::Lapsed),
@@ -303,6 +325,7 @@
             match table.server(id) {
                 Some(backend) if backend.vm == self.view.vm => {
                     server.resize(backend.slots);
+                    self.apply_cold(server, &backend);
                     // An earlier configuration may have lacked the server.
                     match self.is_draining() || server.is_leaving() {
                         true => server.handle(QueueEvent::Drain),
@@ -373,6 +396,8 @@
             return Some(Arc::clone(server));
         }
         let created = Arc::new(self.make_server(&backend));
+        self.apply_cold(&created, &backend);
+        created.handle_cold(ColdEvent::Started);
         self.servers.rcu(|servers| {
             let mut servers = FastMap::clone(servers);
             match servers.get(id) {
@@ -411,6 +436,7 @@
             tick_changed: Notify::new(),
             id: backend.id.clone(),
             codec: Arc::clone(&self.codec),
+            cold: ColdState::default(),
             gate: Mutex::default(),
             notice: Mutex::default(),
             calls: Arc::clone(&self.calls),
--- a/crates/serve/src/egress/probed.rs
+++ b/crates/serve/src/egress/probed.rs
@@ -5,7 +5,9 @@
     time::Duration,
 };
 
+use admit::ColdEvent;
 use config::Service;
+use hyper::HeaderMap;
 use ids::MonoTime;
 
 use super::server::EgressServer;
@@ -35,6 +37,20 @@
         self.server.record_failure(false);
     }
 
+    /// Counts a probe that is sent now, and returns whether it may be: a cold server
+    /// takes only its rate.
+    pub fn count_probe(&self) -> bool {
+        self.server.count_cold(false)
+    }
+
+    /// Records for how long the server stays cold, if an answer of its health endpoint
+    /// says so.
+    pub fn record_cold(&self, headers: &HeaderMap) {
+        if let Some(left) = self.server.codec.read_cold(headers) {
+            self.server.handle_cold(ColdEvent::Answered(left));
+        }
+    }
+
     /// Records the state that the server's health endpoint reported. Notifies
     /// recent ingresses if the server is unhealthy or the state has changed.
     pub fn record_health(&self, healthy: bool) {
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -18,6 +18,7 @@
 
 use super::{
     EgressAnswer,
+    cold::ColdState,
     notice::KnownNotice,
     slot::{GatePass, SlotTicket},
 };
@@ -58,6 +59,8 @@
     pub(super) evidence: ServerEvidence,
     pub(super) id: ServerId,
     pub(super) codec: Arc<dyn EdgeCodec>,
+    /// Whether the server is cold, and what it may be sent.
+    pub(super) cold: ColdState,
     pub(super) gate: Mutex<ServerGate>,
     /// What the server says about itself.
     pub(super) notice: Mutex<KnownNotice>,
@@ -296,9 +299,10 @@
         let load = self.lock().queue.report(now);
         let loaded = now.as_nanos() < self.loaded_until.load(Ordering::Relaxed);
         let extra = if loaded { LOADED_DELAY } else { Duration::ZERO };
+        let delay = load.delay.max(self.cold_wait(now));
         ServerLoad {
             running: load.running,
-            delay_us: (load.delay + extra).as_micros() as u64,
+            delay_us: (delay + extra).as_micros() as u64,
             counts: self.evidence.counts(),
             closed: self.gate().is_closed(now),
         }
--- a/crates/serve/src/egress/slot.rs
+++ b/crates/serve/src/egress/slot.rs
@@ -5,7 +5,7 @@
 
 use admit::{JobId, QueueEvent};
 
-use super::server::EgressServer;
+use super::{cold::ColdPass, server::EgressServer};
 
 /// Permission of the gate to send one request to a backend server.
 #[derive(Debug)]
@@ -31,6 +31,7 @@
 pub(super) struct HeldSlot {
     pub(super) ticket: SlotTicket,
     pub(super) pass: GatePass,
+    pub(super) cold: ColdPass,
 }
 
 /// Place in the queue or slot of a job, which is released on drop.
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -72,6 +72,11 @@
     pub connections: Gauge,
     /// Number of backend servers of this VM that have named a limit.
     pub limited_servers: Gauge,
+    /// Number of cold backend servers of this VM.
+    pub cold_servers: Gauge,
+    /// Number of offers that were refused because they do not fit the rate of a cold
+    /// backend server of this VM.
+    pub cold_refused: Counter,
     /// Number of requests that wait for a slot at the egress.
     pub waiting: Gauge,
     /// Number of requests that hold a slot at the egress.
@@ -100,6 +105,8 @@
             ledger: ByteLedger::default(),
             connections: Gauge::default(),
             limited_servers: Gauge::default(),
+            cold_servers: Gauge::default(),
+            cold_refused: Counter::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
         };
@@ -202,6 +209,16 @@
             "Backend servers of this VM that have named a limit",
             self.limited_servers.clone(),
         );
+        registry.register(
+            "cold_servers",
+            "Cold backend servers of this VM",
+            self.cold_servers.clone(),
+        );
+        registry.register(
+            "cold_refused",
+            "Offers that do not fit the rate of a cold backend server of this VM",
+            self.cold_refused.clone(),
+        );
         registry.register("waiting", "Jobs that wait for a slot", self.waiting.clone());
         registry.register("running", "Jobs that hold a slot", self.running.clone());
     }
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -38,8 +38,10 @@
     /// Returns a backend server on probation that is to get a canary, and marks
     /// the canary as sent.
     pub fn choose_canary(&self, view: &FleetView) -> Option<Arc<ServerState>> {
-        let usable =
-            |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm) && !state.is_leaving();
+        // The refusal of a canary for a cold server would count as a failed canary.
+        let usable = |state: &&Arc<ServerState>| {
+            view.is_usable(&state.backend.vm) && !state.is_leaving() && !state.is_cold()
+        };
         let mut states = self.servers.iter().filter(usable);
         states.find(|state| state.take_canary()).cloned()
     }
@@ -59,6 +61,7 @@
             idempotent,
             reach,
             zone_penalty,
+            avoids_cold,
         } = options;
         let usable = |state: &&Arc<ServerState>| view.is_usable(&state.backend.vm);
         let states: Vec<&Arc<ServerState>> = self.servers.iter().filter(usable).collect();
@@ -74,7 +77,11 @@
             reach,
             zone_penalty,
         };
-        match choose_among(healthy, rules) {
+        let warm = avoids_cold.then(|| {
+            let warm = healthy.iter().filter(|state| !state.is_cold());
+            choose_among(warm.copied().collect(), rules)
+        });
+        match warm.flatten().or_else(|| choose_among(healthy, rules)) {
             Some(server) => {
                 return Some(ServerChoice {
                     server,
@@ -105,6 +112,8 @@
     /// Delay that a server in another zone must save to be preferred. Traffic
     /// between zones costs money by the byte.
     pub zone_penalty: Duration,
+    /// Whether a cold server is chosen only if there is no other healthy one.
+    pub avoids_cold: bool,
 }
 
 /// Backend server that was chosen for an attempt.
--- a/crates/serve/src/pool/server.rs
+++ b/crates/serve/src/pool/server.rs
@@ -10,6 +10,7 @@
 
 use config::Backend;
 use hop::{ServerLoad, ServerNotice};
+use ids::RequestRate;
 use route::{Candidate, Distance};
 
 use crate::link::ConnectionPool;
@@ -41,6 +42,13 @@
 /// the end of the limit is noticed.
 const MIN_LIMITED_SHARE: f64 = 0.02;
 const MAX_SILENT_MS: u64 = 3_000;
+/// Share of its usual traffic that a cold server is offered, as its answers take about
+/// twice as long; and the share while nothing is known of its service time.
+const COLD_SHARE: f64 = 0.5;
+const FIRST_COLD_SHARE: f64 = 0.25;
+/// Time for which a server counts as cold after its egress refused a request for that,
+/// in milliseconds: the configuration may not say so yet.
+const COLD_REFUSAL_MS: u64 = 300;
 
 /// State of a backend server at this ingress.
 #[derive(Debug)]
@@ -72,6 +80,12 @@
     /// What the server says about itself, and when that was last passed on, in
     /// milliseconds from `start`.
     notice: Mutex<(ServerNotice, u64)>,
+    /// Rate that the server takes while it is cold, as the bits of a number; zero if it
+    /// is warm.
+    cold_rate: AtomicU64,
+    /// End of the time for which it counts as cold after a refusal, in milliseconds from
+    /// `start`.
+    refused_cold_until_ms: AtomicU64,
 }
 
 impl ServerState {
@@ -97,6 +111,56 @@
             offers_without_reply: AtomicU32::new(0),
             silent_until_ms: AtomicU64::new(0),
             notice: Mutex::default(),
+            cold_rate: AtomicU64::new(0),
+            refused_cold_until_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Whether this is the state of a server with that record. Whether the server is
+    /// cold may differ, because its state is kept when that changes.
+    pub(super) fn matches(&self, backend: &Backend) -> bool {
+        self.backend.id == backend.id
+            && *self.backend
+                == Backend {
+                    cold: self.backend.cold,
+                    ..backend.clone()
+                }
+    }
+
+    /// Sets the rate that the server takes while it is cold; `None` if it is warm.
+    pub(super) fn set_cold(&self, rate: Option<RequestRate>) {
+        let rate = rate.map_or(0.0, RequestRate::as_f64);
+        self.cold_rate.store(rate.to_bits(), Ordering::Relaxed);
+    }
+
+    /// Records that the egress of the server refused a request because the server is
+    /// cold.
+    pub fn record_cold_refusal(&self) {
+        let until = self.age_ms() + COLD_REFUSAL_MS;
+        self.refused_cold_until_ms.store(until, Ordering::Relaxed);
+    }
+
+    /// Whether the server is cold, by the configuration or a recent refusal.
+    pub fn is_cold(&self) -> bool {
+        self.listed_cold_rate() > 0.0
+            || self.age_ms() < self.refused_cold_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// Rate that the server takes by the configuration, zero if it is warm.
+    fn listed_cold_rate(&self) -> f64 {
+        f64::from_bits(self.cold_rate.load(Ordering::Relaxed))
+    }
+
+    /// Share of its usual traffic that the server is offered while it is cold.
+    fn cold_share(&self) -> f64 {
+        let service_s = self.service_us.load(Ordering::Relaxed) as f64 / 1e6;
+        match self.listed_cold_rate() {
+            0.0 => 1.0,
+            _ if service_s == 0.0 => FIRST_COLD_SHARE,
+            rate => {
+                let slots = f64::from(self.backend.slots.get().max(1));
+                (rate * service_s / slots).clamp(MIN_LIMITED_SHARE, 1.0) * COLD_SHARE
+            }
         }
     }
 
@@ -281,7 +345,7 @@
             in_flight: self.in_flight.load(Ordering::Relaxed),
             service_time: Duration::from_micros(self.service_us.load(Ordering::Relaxed)),
             distance: self.distance,
-            weight: self.weight() * self.limited_share(),
+            weight: self.weight() * self.limited_share() * self.cold_share(),
         }
     }
 
@@ -298,6 +362,7 @@
             "delay_us": self.delay_us.load(Ordering::Relaxed),
             "limit": self.notice().limit.map(|limit| limit.to_string()),
             "leaving": self.notice().leaving,
+            "cold": self.is_cold(),
             "service_us": self.service_us.load(Ordering::Relaxed),
         })
     }
--- a/crates/serve/src/pool/table.rs
+++ b/crates/serve/src/pool/table.rs
@@ -114,8 +114,8 @@
     }
 
     /// Creates a pool that keeps the state of the servers and the statistics of
-    /// the pool before it. The state of a server is kept if its record and the
-    /// address of its VM are unchanged.
+    /// the pool before it. The state of a server is kept if its record, apart from
+    /// whether it is cold, and the address of its VM are unchanged.
     fn make_pool(
         &self,
         service: &Arc<Service>,
@@ -126,7 +126,7 @@
             let old = before?
                 .servers
                 .iter()
-                .find(|state| *state.backend == *backend)?;
+                .find(|state| state.matches(backend))?;
             let same_address = match &old.connections {
                 Some(connections) => {
                     self.view.table().vm(&backend.vm)?.address == connections.address()
@@ -135,7 +135,12 @@
             };
             same_address.then(|| Arc::clone(old))
         };
-        let state = |backend: Backend| keep(&backend).or_else(|| self.make_server(backend));
+        let state = |backend: Backend| {
+            let rate = service.cold.filter(|_| backend.cold).map(|cold| cold.rate);
+            let state = keep(&backend).or_else(|| self.make_server(backend))?;
+            state.set_cold(rate);
+            Some(state)
+        };
         let members = self.view.table().pool_servers(&service.id);
         let budget = before.map_or_else(Arc::default, |pool| Arc::clone(&pool.budget));
         let slack = self.settings.load().policy.retry_slack;
--- a/crates/serve/src/probe.rs
+++ b/crates/serve/src/probe.rs
@@ -52,7 +52,10 @@
 async fn probe(server: &ProbedServer) {
     if let Some(path) = &server.service.health_path {
         match send_probe(server, path).await {
-            ProbeResult::Answered(response) => server.record_health(response.status().is_success()),
+            ProbeResult::Answered(response) => {
+                server.record_cold(response.headers());
+                server.record_health(response.status().is_success());
+            }
             ProbeResult::Missing => server.record_health(false),
             ProbeResult::Refused => server.record_refused(),
             ProbeResult::Inconclusive => {}
@@ -74,7 +77,8 @@
     Missing,
     /// Nothing listens at the address.
     Refused,
-    /// All connections are in use, or the answer is too old.
+    /// All connections are in use, the answer is too old, or the server is cold and
+    /// takes no request now.
     Inconclusive,
 }
 
@@ -86,6 +90,9 @@
     let Ok(request) = request else {
         return ProbeResult::Inconclusive;
     };
+    if !server.count_probe() {
+        return ProbeResult::Inconclusive;
+    }
     match timeout(PROBE_TIMEOUT, server.connections().send(request)).await {
         Ok(Ok(response)) if age_s(&response) > MAX_ANSWER_AGE_S => ProbeResult::Inconclusive,
         Ok(Ok(response)) => ProbeResult::Answered(Box::new(response)),
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -69,6 +69,11 @@
     /// Number of retries that the whole fleet may make for one service beyond
     /// that share within a short time.
     pub retry_slack: f64,
+    /// Bound of the requests to a cold backend server: in no second more than the rate
+    /// of its service times this factor, and `cold_slack` more.
+    pub cold_over: f64,
+    /// See `cold_over`.
+    pub cold_slack: f64,
     /// Number of daemons in each availability zone that read the configuration
     /// from the platform; the others pull it from peers.
     pub readers_per_zone: usize,
@@ -86,6 +91,8 @@
             floor_share: 0.6,
             retry_ratio: 0.1,
             retry_slack: 50.0,
+            cold_over: 1.5,
+            cold_slack: 8.0,
             readers_per_zone: 3,
             refuse_isolated: true,
             linger_ms: 0,
@@ -376,6 +383,16 @@
                 "policy.retry_slack",
                 "must be 0 or more requests",
             ),
+            (
+                (1.0..=100.0).contains(&self.policy.cold_over),
+                "policy.cold_over",
+                "must be 1 to 100",
+            ),
+            (
+                (1.0..=1e6).contains(&self.policy.cold_slack),
+                "policy.cold_slack",
+                "must be 1 to 1000000 requests",
+            ),
             (
                 self.policy.readers_per_zone > 0,
                 "policy.readers_per_zone",
--- a/tests/separate_processes.rs
+++ b/tests/separate_processes.rs
@@ -324,6 +324,8 @@
 #[test_case(r#""secret": "a secret for tests only", "budgets": { "connections": 0 }"#, "must be 1 to 1000000"; "no connections")]
 #[test_case(r#""secret": "a secret for tests only", "log": { "level": "info", "level": "warn" }"#, "stands twice"; "repeated field")]
 #[test_case(r#""secret": "a secret for tests only", "policy": { "floor_share": 1.5 }"#, "policy.floor_share: must be 0 to 1"; "odd share")]
+#[test_case(r#""secret": "a secret for tests only", "policy": { "cold_over": 0.5 }"#, "policy.cold_over: must be 1 to 100"; "odd factor")]
+#[test_case(r#""secret": "a secret for tests only", "policy": { "cold_slack": 0 }"#, "policy.cold_slack: must be 1 to 1000000"; "no slack")]
 #[test_case(r#""secret_file": "/nowhere""#, "correct the path"; "secret file missing")]
 #[test_case(r#""secret": "a secret for tests only", "log": { "level": "loud" }"#, "unknown variant `loud`"; "unknown level")]
 fn invalid_settings(field: &str, text: &str) {
