A warm server is not throttled when it is first used

A backend server that a daemon used for the first time counted as cold for a second, however long the daemon had run. With a rate of 2/s, most of the first 60 requests were refused. Only what an earlier process of the daemon sent in the last second is unknown, so the second now counts from the start of the daemon.

warm_at_first_sight fails without the change. spell_ends_without_platform shows in addition that a spell lasts while the platform says so and ends by itself while it is down; it passed before.

--- a/crates/serve/src/egress/cold.rs
+++ b/crates/serve/src/egress/cold.rs
@@ -22,6 +22,8 @@
 const NO_TERMS: u8 = 0;
 const WARM: u8 = 1;
 const COLD: u8 = 2;
+/// Time after the start of the daemon in which requests of an earlier process count.
+const START_TIME: Duration = Duration::from_secs(1);
 /// Time without a tick after which the process counts as suspended meanwhile.
 const MAX_TICK_GAP: Duration = Duration::from_secs(1);
 /// Factor by which the slow limit is longer for a cold server. Such a server takes
@@ -224,6 +226,14 @@
         }
     }
 
+    /// Has a server that is used for the first time count as cold if this daemon has just
+    /// started: an earlier process may have sent requests to it in the same second.
+    pub(super) fn begin_cold(&self, server: &EgressServer) {
+        if self.clock.now().since(MonoTime::ZERO) < START_TIME {
+            server.handle_cold(ColdEvent::Started);
+        }
+    }
+
     /// Counts a refusal and returns its reason.
     fn refuse_cold(&self) -> NotRun {
         self.metrics.cold_refused.inc();
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-use admit::{ColdEvent, QueueEvent, QueueLimits, QueueRefusal, QueueReport, SlotQueue};
+use admit::{QueueEvent, QueueLimits, QueueRefusal, QueueReport, SlotQueue};
 use arc_swap::ArcSwap;
 use config::Backend;
 use health::{FailedCalls, OutcomeCounts};
@@ -397,7 +397,7 @@
         }
         let created = Arc::new(self.make_server(&backend));
         self.apply_cold(&created, &backend);
-        created.handle_cold(ColdEvent::Started);
+        self.begin_cold(&created);
         self.servers.rcu(|servers| {
             let mut servers = FastMap::clone(servers);
             match servers.get(id) {
