--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -211,6 +211,7 @@
                     reach: limits.reach,
                     zone_penalty: self.zone_patience(),
                     last_resort: limits.may_force,
+                    avoids_cold: self.refused_cold,
                 };
                 let mut tried = self.asked.clone();
                 tried.extend(lock(&self.source.committed_to).iter().cloned());
@@ -301,6 +302,10 @@
                 match (reason, &choice.server.connections) {
                     (NotRun::Leaving, Some(connections)) => connections.mark_leaving(),
                     (NotRun::Failing | NotRun::Misdirected, _) => choice.server.record_gate(true),
+                    (NotRun::Cold, _) => {
+                        choice.server.record_cold_refusal();
+                        self.refused_cold = true;
+                    }
                     _ => {}
                 }
                 let wait = Duration::from_micros(load.delay_us);
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -1,6 +1,7 @@
 //! The egress: queues offers for the backend servers of this VM and runs the
 //! requests that are committed to them.
 
+mod cold;
 mod dispatch;
 mod evacuation;
 mod notice;
@@ -29,7 +30,7 @@
 use tokio::sync::{Notify, oneshot};
 
 pub use self::probed::ProbedServer;
-use self::{notice::NoticeSource, server::EgressServer, slot::HeldSlot};
+use self::{cold::ColdState, notice::NoticeSource, server::EgressServer, slot::HeldSlot};
 use crate::{
     body::ProxyBody,
     clock::MonoClock,
@@ -40,6 +41,8 @@
     hop::HopTransport,
     ledger::StreamMeter,
     link::ConnectionPool,
+    metrics::MetricSet,
+    settings::LiveSettings,
     task::TaskGroup,
     view::FleetView,
     wire::{Attempt, EgressOutcome, EgressReport, NotRun},
@@ -78,9 +81,13 @@
     evacuated: AtomicBool,
     incarnation: EgressIncarnation,
     control: ControlSender,
+    settings: LiveSettings,
+    metrics: Arc<MetricSet>,
     stall_timeout: Duration,
     codec: Arc<dyn EdgeCodec>,
     offers: Mutex<EgressOffers>,
+    /// Time of the latest tick, by which a suspension of the process is noticed.
+    last_tick: AtomicU64,
     /// Failed calls that requests on this VM made to other services.
     calls: Arc<Mutex<FailedCalls>>,
 }
@@ -93,10 +100,13 @@
         clock: MonoClock,
         tasks: Arc<TaskGroup>,
         control: ControlSender,
-        stall_timeout: Duration,
+        settings: LiveSettings,
+        metrics: Arc<MetricSet>,
         codec: Arc<dyn EdgeCodec>,
     ) -> Self {
         let incarnation = EgressIncarnation(rand::random());
+        let stall_timeout = settings.load().budgets.stall_timeout();
+        let last_tick = AtomicU64::new(clock.now().as_nanos());
         Self {
             view,
             clock,
@@ -106,9 +116,12 @@
             evacuated: AtomicBool::new(false),
             incarnation,
             control,
+            settings,
+            metrics,
             stall_timeout,
             codec,
             offers: Mutex::new(OfferTable::new(incarnation)),
+            last_tick,
             calls: Arc::default(),
         }
     }
@@ -238,6 +251,7 @@
         if server.refuses_early(job) {
             return Err(NotRun::Failing);
         }
+        let cold = self.reserve_cold(server)?;
         let acquired = server.acquire(job, deadline);
         tokio::pin!(acquired);
         let ticket = tokio::select! {
@@ -250,14 +264,15 @@
         };
         let ticket = ticket.map_err(|refusal| self.refusal_reason(refusal))?;
         // The zone may have been evacuated, the key withdrawn, or the server may
-        // have begun to fail, while the request waited.
+        // have begun to fail or become cold, while the request waited.
         self.check_evacuation()?;
         match job.key {
             Some(key) if self.view.table().has_withdrawn(&key) => return Err(NotRun::Withdrawn),
             _ => {}
         }
+        let cold = self.renew_cold(cold)?;
         let pass = server.pass_gate(job)?;
-        Ok(HeldSlot { ticket, pass })
+        Ok(HeldSlot { ticket, pass, cold })
     }
 
     /// Runs a request whose offer holds a slot, or returns why it did not run.
@@ -272,13 +287,20 @@
         match committed {
             // The slot is released. The grant may be older than the evacuation.
             Ok(_) if self.is_evacuated() => server.not_run(NotRun::Evacuated),
-            Ok(held) => {
-                let answer = server.dispatch(attempt, request, deadline, held).await;
-                if attempt.from != self.view.vm {
-                    self.offers().record_answer(&key);
+            Ok(mut held) => match self.send_cold(&mut held.cold) {
+                Ok(()) => {
+                    let answer = server.dispatch(attempt, request, deadline, held).await;
+                    if attempt.from != self.view.vm {
+                        self.offers().record_answer(&key);
+                    }
+                    answer
                 }
-                answer
-            }
+                Err(reason) => {
+                    // Releases the slot before the load is reported.
+                    drop(held);
+                    server.not_run(reason)
+                }
+            },
             // The request arrived twice, and the other copy runs.
             Err(OfferStatus::Committed) => server.without_answer(EgressOutcome::Lost),
             Err(_) => server.not_run(NotRun::Lapsed),
@@ -322,6 +344,7 @@
                     server.unlisted.store(false, Ordering::Release);
                     server.evacuated.store(evacuated, Ordering::Release);
                     server.resize(backend.slots);
+                    self.apply_cold(server, &backend);
                     // An earlier configuration may have lacked the server.
                     match self.is_draining() || server.is_leaving() || evacuated {
                         true => server.handle(QueueEvent::Drain),
@@ -393,6 +416,8 @@
             return Some(Arc::clone(server));
         }
         let created = Arc::new(self.make_server(&backend));
+        self.apply_cold(&created, &backend);
+        self.begin_cold(&created);
         self.servers.rcu(|servers| {
             let mut servers = FastMap::clone(servers);
             match servers.get(id) {
@@ -433,6 +458,7 @@
             tick_changed: Notify::new(),
             id: backend.id.clone(),
             codec: Arc::clone(&self.codec),
+            cold: ColdState::default(),
             gate: Mutex::default(),
             rejections: Mutex::default(),
             notice: Mutex::default(),
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -82,6 +82,11 @@
     /// Number of services that this daemon has used and whose backend servers are all
     /// in evacuated zones.
     pub evacuated_services: Gauge,
+    /// Number of cold backend servers of this VM.
+    pub cold_servers: Gauge,
+    /// Number of offers that were refused because they do not fit the rate of a cold
+    /// backend server of this VM.
+    pub cold_refused: Counter,
     /// Number of requests that wait for a slot at the egress.
     pub waiting: Gauge,
     /// Number of requests that hold a slot at the egress.
@@ -114,6 +119,8 @@
             limited_servers: Gauge::default(),
             evacuated_zones: Gauge::default(),
             evacuated_services: Gauge::default(),
+            cold_servers: Gauge::default(),
+            cold_refused: Counter::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
         };
@@ -236,6 +243,16 @@
             "Services in use here whose backend servers are all in evacuated zones",
             self.evacuated_services.clone(),
         );
+        registry.register(
+            "cold_servers",
+            "Cold backend servers of this VM",
+            self.cold_servers.clone(),
+        );
+        registry.register(
+            "cold_refused",
+            "Offers that do not fit the rate of a cold backend server of this VM",
+            self.cold_refused.clone(),
+        );
         registry.register("waiting", "Jobs that wait for a slot", self.waiting.clone());
         registry.register("running", "Jobs that hold a slot", self.running.clone());
     }
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -61,7 +61,8 @@
     ) -> Option<Arc<ServerState>> {
         let mut states = self.servers_in(view, scope).into_iter();
         states
-            .find(|state| !state.is_leaving() && state.take_canary())
+            // The refusal of a canary for a cold server would count as a failed canary.
+            .find(|state| !state.is_leaving() && !state.is_cold() && state.take_canary())
             .cloned()
     }
 
@@ -85,6 +86,7 @@
             idempotent,
             reach,
             zone_penalty,
+            avoids_cold,
             last_resort,
         } = options;
         let states = self.servers_in(view, scope);
@@ -105,11 +107,18 @@
             reach,
             zone_penalty,
         };
-        let chosen = match choose_among(accepting, rules) {
-            None if last_resort => choose_among(rejecting, rules),
-            chosen => chosen,
+        let is_warm = |state: &&&Arc<ServerState>| !state.is_cold();
+        let warm = match avoids_cold {
+            true => accepting.iter().filter(is_warm).copied().collect(),
+            false => Vec::new(),
         };
-        match chosen {
+        let rejecting = match last_resort {
+            true => rejecting,
+            false => Vec::new(),
+        };
+        let groups = [warm, accepting, rejecting];
+        let mut choices = groups.into_iter().map(|group| choose_among(group, rules));
+        match choices.find_map(|choice| choice) {
             Some(server) => {
                 return Some(ServerChoice {
                     server,
@@ -144,6 +153,8 @@
     /// that rejects more than its peers, which has no queue and would be the first to
     /// grant a slot.
     pub last_resort: bool,
+    /// Whether a cold server is chosen only if there is no other healthy one.
+    pub avoids_cold: bool,
 }
 
 /// Backend server that was chosen for an attempt.
--- a/crates/serve/src/pool/scope_tests.rs
+++ b/crates/serve/src/pool/scope_tests.rs
@@ -115,6 +115,7 @@
             reach,
             zone_penalty: Duration::from_millis(10),
             last_resort: false,
+            avoids_cold: false,
         };
         let choices = (0..CHOICES).filter_map(|_| pool.choose(&self.view, scope, &[], options));
         let mut names: Vec<(String, bool)> = choices
