--- a/soak/args.rs
+++ b/soak/args.rs
@@ -74,8 +74,9 @@
             "S",
         );
         options.optflag("", "regressions", "run the seeds that failed before");
-        // `.ci/run` passes `--skip` to all test programs for tests known to fail.
+        // `.ci/test` passes these to all test programs for tests known to fail.
         options.optmulti("", "skip", "ignored", "NAME");
+        options.optflag("", "exact", "ignored");
         options.optflag("q", "quiet", "ignored");
         let matches = options
             .parse(args)
