Zones: requests stay in their homes

Routes and accounts may list the regions that their requests may be run in; callers' requests and bodies were sent to any region.

`RouteTerms.homes` and `Account.homes` hold the lists, both empty by default. `route::HomeRegions` combines them when a request is admitted, and the scope of the request, which every choice of a server takes already, keeps it there: first tries, retries, hedges, tied offers, canaries, last resorts and resumed downloads. The pool that the floor is computed from is that of the homes. A service without a server there is refused at once with 503 and Retry-After, with one log line per change and the metric `unserved_homes`.

The text of records leaves the field out while it is empty, so tables of deployments without homes are unchanged. A derived `skip_serializing_if` can't do this: the packed form has no field names and needs every field, so `config::encode` looks at the form. The fuzz test of the packed map now has accounts with zero to two homes.

--- a/crates/config/examples/two_years.rs
+++ b/crates/config/examples/two_years.rs
@@ -96,6 +96,7 @@
             burst: TokenAmount::whole(100),
             weight: Weight(1),
             rank: None,
+            homes: Vec::new(),
         })
     });
     add(&mut builder, "keys", accounts, |n| {
@@ -151,6 +152,7 @@
             burst: TokenAmount::whole(100),
             weight: Weight(1),
             rank: None,
+            homes: Vec::new(),
         });
         let mut builder = TableBuilder::from_table(&table);
         builder.put(record.clone()).expect("the record is valid");
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -148,6 +148,9 @@
     pub weight: Option<Weight>,
     /// Rank of the account's requests; overrides the rank of the route.
     pub rank: Option<Rank>,
+    /// Regions that requests may be run in; if empty, all of them.
+    #[serde(default)]
+    pub homes: Vec<RegionId>,
 }
 
 /// A caller's key of the rules.
@@ -273,6 +276,7 @@
                 burst: TokenAmount::whole(rule.burst),
                 weight: rule.weight.unwrap_or(Weight(1)),
                 rank: rule.rank,
+                homes: rule.homes,
             };
             self.push(Record::Account(account), &file, &path);
         }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,7 @@
 mod check;
 mod digest;
 mod document;
+mod encode;
 mod fault;
 mod jsonc;
 mod members;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -176,8 +176,8 @@
     pub weight: u32,
 }
 
-/// Timeouts, number of attempts, rank and traffic split of a route.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+/// Timeouts, number of attempts, rank, traffic split and homes of a route.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RouteTerms {
     /// Maximum time that a caller waits for the answer, in milliseconds;
@@ -193,6 +193,8 @@
     /// Services that the traffic is split between; if empty, all of it goes to
     /// the route's `service`.
     pub split: Vec<WeightedService>,
+    /// Regions that requests may be run in; if empty, all of them.
+    pub homes: Vec<RegionId>,
 }
 
 impl Route {
@@ -220,7 +222,7 @@
 }
 
 /// A client account with its rate limit, which applies across the fleet.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
 pub struct Account {
     /// Name of the account.
     pub id: AccountId,
@@ -233,6 +235,10 @@
     /// Rank of the account's requests; overrides the rank of the route.
     #[serde(default)]
     pub rank: Option<Rank>,
+    /// Regions that requests may be run in; if empty, all of them. Those of the route
+    /// apply as well.
+    #[serde(default)]
+    pub homes: Vec<RegionId>,
 }
 
 /// A caller's key, stored only as a digest.
--- a/crates/config/tests/accounts/mod.rs
+++ b/crates/config/tests/accounts/mod.rs
@@ -11,5 +11,6 @@
         burst: TokenAmount::whole(10),
         weight: Weight(1),
         rank: None,
+        homes: Vec::new(),
     })
 }
--- a/crates/config/tests/delta_fuzz.rs
+++ b/crates/config/tests/delta_fuzz.rs
@@ -129,6 +129,7 @@
                 burst: TokenAmount::ONE,
                 weight: Weight(1),
                 rank: None,
+                homes: Vec::new(),
             })
         })
         .collect();
--- a/crates/config/tests/packed_map.rs
+++ b/crates/config/tests/packed_map.rs
@@ -7,7 +7,7 @@
     Access, Account, ConfigTable, PackedMap, PackedRecord, Record, Route, TableBuilder,
     TrafficClass,
 };
-use ids::{Revision, TokenAmount, TokenRate, Weight};
+use ids::{RegionId, Revision, TokenAmount, TokenRate, Weight};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 /// Number of account names in the fuzz test.
@@ -20,9 +20,14 @@
         burst: TokenAmount::whole(rate),
         weight: Weight(1),
         rank: None,
+        homes: (0..rate % 3).map(region).collect(),
     }
 }
 
+fn region(number: u64) -> RegionId {
+    format!("region-{number}").parse().unwrap()
+}
+
 /// Operation on the map: inserts or removes an account, or clones the map.
 #[derive(Clone, Debug)]
 enum MapOperation {
--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -115,6 +115,7 @@
                 burst: TokenAmount::whole(*burst),
                 weight: Weight(1),
                 rank: None,
+                homes: Vec::new(),
             }));
             records.push(Record::Key(CallerKey {
                 digest: hasher.digest(format!("key-of-{account}").as_bytes()),
--- a/crates/mesh/tests/packed_text.rs
+++ b/crates/mesh/tests/packed_text.rs
@@ -14,6 +14,7 @@
             burst: TokenAmount::whole(u64::from(number % 90 + 5)),
             weight: Weight(1),
             rank: None,
+            homes: Vec::new(),
         })
     };
     (0..count).map(account).collect()
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 mod choice;
+mod homes;
 mod idempotence;
 mod plan;
 mod quantile;
@@ -14,6 +15,7 @@
 
 pub use budget::RetryBudget;
 pub use choice::{Candidate, Distance, choose_server, expected_delay, keep_floor};
+pub use homes::HomeRegions;
 pub use idempotence::is_idempotent;
 pub use plan::{
     AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, PlanAction, PlanEvent, PlanOptions,
--- a/crates/serve/src/answer.rs
+++ b/crates/serve/src/answer.rs
@@ -35,6 +35,9 @@
     SlowRequest,
     /// No backend server of the service is in rotation.
     PoolDown,
+    /// No backend server of the service is in the regions that the request may be run
+    /// in.
+    OutsideHomes,
     /// This daemon has no configuration yet.
     NotReady,
     /// This daemon receives nothing from the platform or from enough peers.
@@ -54,9 +57,12 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
-            Self::PoolDown | Self::NoHome | Self::NotReady | Self::Isolated | Self::NotRun(..) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::PoolDown
+            | Self::OutsideHomes
+            | Self::NoHome
+            | Self::NotReady
+            | Self::Isolated
+            | Self::NotRun(..) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown(FailedOutcome::UnknownTimeout) => StatusCode::GATEWAY_TIMEOUT,
             Self::Unknown(_) => StatusCode::BAD_GATEWAY,
         }
@@ -103,6 +109,7 @@
             Self::BadRequest => f.write_str("bad request"),
             Self::SlowRequest => f.write_str("request too slow"),
             Self::PoolDown => f.write_str("no backend server in rotation"),
+            Self::OutsideHomes => f.write_str("no backend server in the allowed regions"),
             Self::NotReady => f.write_str("no configuration yet"),
             Self::Isolated => f.write_str("isolated"),
             Self::NotRun(reason, _) => reason.fmt(f),
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -20,7 +20,7 @@
     http::request::Parts,
 };
 use ids::{Rank, ServiceId, WorkPriority};
-use route::RequestScope;
+use route::{HomeRegions, RequestScope};
 
 use crate::{
     answer::Refusal,
@@ -34,7 +34,7 @@
     gate::RateLimiter,
     hop::HopTransport,
     metrics::MetricSet,
-    pool::{PoolState, PoolTable},
+    pool::{HomeShortages, PoolState, PoolTable},
     run::{RequestRun, RunOptions},
     settings::LiveSettings,
     trail::{LineLimiter, RequestEnd, RequestTrace},
@@ -77,6 +77,8 @@
     pub limiter: RateLimiter,
     /// Passes observations of backend servers to the control loop.
     pub control: ControlSender,
+    /// Services without a backend server in the homes of requests.
+    pub shortages: HomeShortages,
     /// Hashes the ids of pieces of work to their priorities.
     pub priority_hasher: RandomState,
     /// Bounds the log lines of answered requests.
@@ -99,6 +101,8 @@
     pool: Arc<PoolState>,
     /// Key and client account of the caller; `None` on an open route.
     caller: Option<(KeyDigest, Arc<Account>)>,
+    /// Regions that the request may be run in.
+    homes: HomeRegions,
 }
 
 impl RequestContext {
@@ -221,6 +225,7 @@
             trace: Arc::clone(trace),
             rank: self.queue_rank(route, account),
             work_priority: self.work_priority(&trace.request_id),
+            homes: context.homes,
             max_attempts: route.terms.max_attempts,
             account: context
                 .caller
@@ -282,14 +287,21 @@
         };
         let service = route.pick_service(rand::random());
         let pool = self.pools.pool(service).ok_or(Refusal::PoolDown)?;
+        let account = caller.as_ref().map(|(_, account)| account.homes.as_slice());
+        let homes = HomeRegions::new(&route.terms.homes, account.unwrap_or_default());
         // Refused at once, before a token is taken and the body is read.
-        if let Some(refusal) = pool.scope_refusal(&self.view, &RequestScope::default()) {
+        let scope = RequestScope::new(homes.clone());
+        let refusal = pool.scope_refusal(&self.view, &scope);
+        self.shortages
+            .record(&self.metrics, service, &homes, refusal.is_none());
+        if let Some(refusal) = refusal {
             return Err(refusal);
         }
         Ok(RequestContext {
             route,
             pool,
             caller,
+            homes,
         })
     }
 
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -77,6 +77,9 @@
     /// Number of services that this daemon has used and whose backend servers are all
     /// in evacuated zones.
     pub evacuated_services: Gauge,
+    /// Number of services, with the homes of requests, for which the latest request
+    /// found no backend server.
+    pub unserved_homes: Gauge,
     /// Number of requests that wait for a slot at the egress.
     pub waiting: Gauge,
     /// Number of requests that hold a slot at the egress.
@@ -107,6 +110,7 @@
             limited_servers: Gauge::default(),
             evacuated_zones: Gauge::default(),
             evacuated_services: Gauge::default(),
+            unserved_homes: Gauge::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
         };
@@ -219,6 +223,11 @@
             "Services in use here whose backend servers are all in evacuated zones",
             self.evacuated_services.clone(),
         );
+        registry.register(
+            "unserved_homes",
+            "Services without a backend server in the regions that requests allow",
+            self.unserved_homes.clone(),
+        );
         registry.register("waiting", "Jobs that wait for a slot", self.waiting.clone());
         registry.register("running", "Jobs that hold a slot", self.running.clone());
     }
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -4,6 +4,7 @@
 #[cfg(test)]
 mod scope_tests;
 mod server;
+mod shortage;
 mod table;
 
 use std::{
@@ -16,7 +17,7 @@
 use ids::{Percent, ServerId};
 use route::{Candidate, LatencyQuantile, RequestScope, RetryBudget, choose_server, keep_floor};
 
-pub use self::{server::ServerState, table::PoolTable};
+pub use self::{server::ServerState, shortage::HomeShortages, table::PoolTable};
 use crate::view::FleetView;
 
 /// Backend servers of one service, and the state that its requests share.
--- a/crates/serve/src/pool/scope.rs
+++ b/crates/serve/src/pool/scope.rs
@@ -1,4 +1,5 @@
-//! Servers of a pool that are not in an evacuated zone.
+//! Servers of a pool that a request may be sent to: those in its homes and not in an
+//! evacuated zone.
 
 use std::{sync::Arc, time::Duration};
 
@@ -19,6 +20,7 @@
     let zone = table.zone_of(vm)?;
     Some(ServerPlace {
         zone: &zone.id,
+        region: &zone.region,
         evacuated: zone.evacuated,
     })
 }
@@ -49,9 +51,16 @@
         }
         let in_scope =
             |state: &Arc<ServerState>| scope.contains(place_of(&table, &state.backend.vm));
-        match self.servers.iter().any(in_scope) {
-            true => None,
-            false => Some(Refusal::NotRun(NotRun::Evacuated, OUT_OF_SCOPE_RETRY_AFTER)),
+        let in_homes = |state: &Arc<ServerState>| {
+            let zone = table.zone_of(&state.backend.vm);
+            zone.is_some_and(|zone| scope.homes().allows(&zone.region))
+        };
+        match &self.servers {
+            servers if servers.iter().any(in_scope) => None,
+            servers if servers.iter().any(in_homes) => {
+                Some(Refusal::NotRun(NotRun::Evacuated, OUT_OF_SCOPE_RETRY_AFTER))
+            }
+            _ => Some(Refusal::OutsideHomes),
         }
     }
 }
--- a/crates/serve/src/pool/scope_tests.rs
+++ b/crates/serve/src/pool/scope_tests.rs
@@ -1,12 +1,13 @@
-//! Choice of servers in a pool with evacuated zones, without a network.
+//! Choice of servers in a pool with evacuated zones, and of requests with homes, without
+//! a network.
 
 use std::{sync::Arc, time::Duration};
 
 use config::{ConfigTable, Record, TableBuilder};
 use fakes::{Deployment, DeploymentShape, ServiceShape};
 use hop::SearchReach;
-use ids::{Percent, Revision};
-use route::RequestScope;
+use ids::{Percent, RegionId, Revision};
+use route::{HomeRegions, RequestScope};
 
 use super::{ChoiceOptions, PoolState, PoolTable};
 use crate::{
@@ -66,8 +67,14 @@
         };
         let mut records = Deployment::new(&shape, b"a secret for tests only").records;
         for record in &mut records {
-            if let Record::Service(service) = record {
-                service.floor = Percent(floor);
+            match record {
+                Record::Service(service) => service.floor = Percent(floor),
+                // Each zone is a region of its own, of the same number.
+                Record::Zone(zone) => {
+                    let number = zone.id.as_str().replace("zone", "region");
+                    zone.region = number.parse().unwrap();
+                }
+                _ => {}
             }
         }
         let settings = settings();
@@ -245,3 +252,64 @@
     ];
     assert_eq!(ingress.chosen_names(), expected);
 }
+
+/// Returns the scope of a request with homes.
+fn with_homes(names: &[&str]) -> RequestScope {
+    let regions: Vec<RegionId> = names.iter().map(|name| name.parse().unwrap()).collect();
+    RequestScope::new(HomeRegions::new(&regions, &[]))
+}
+
+// Guards against requests that leave their homes, in a choice of any kind: ordinary,
+// as last resort, or as a canary.
+#[test]
+fn homes_kept() {
+    let ingress = Ingress::new(3, 6, 60);
+    let scope = with_homes(&["region-1", "region-2"]);
+    let names = |forced: bool| {
+        let chosen = ingress.chosen(&scope, SearchReach::Fleet);
+        assert!(chosen.iter().all(|(_, other)| *other == forced));
+        chosen.into_iter().map(|(name, _)| name).collect::<Vec<_>>()
+    };
+    let expected = ["plans-1", "plans-2", "plans-4", "plans-5"];
+    assert_eq!(names(false), expected);
+    assert!(ingress.chosen(&scope, SearchReach::Zone).is_empty());
+    let pool = ingress.pool();
+    pool.servers[0].set_canary(true);
+    assert!(pool.choose_canary(&ingress.view, &scope).is_none());
+    for server in &pool.servers {
+        server.record_silence();
+    }
+    assert_eq!(names(true), expected);
+}
+
+// Guards against a refusal that names the wrong reason, or none although no server is
+// left.
+#[test]
+fn home_without_servers() {
+    let ingress = Ingress::new(2, 4, 60);
+    let refusal = |scope: &RequestScope| ingress.pool().scope_refusal(&ingress.view, scope);
+    let (home, elsewhere) = (with_homes(&["region-1"]), with_homes(&["region-7"]));
+    assert!(refusal(&home).is_none());
+    assert_eq!(refusal(&elsewhere), Some(Refusal::OutsideHomes));
+    assert!(Refusal::OutsideHomes.retry_after().is_some());
+    ingress.evacuate(&["zone-1"]);
+    assert!(is_evacuated(refusal(&home)));
+    assert!(refusal(&RequestScope::default()).is_none());
+    assert_eq!(refusal(&elsewhere), Some(Refusal::OutsideHomes));
+}
+
+// Guards against a floor that is computed from servers that the request can't use: of
+// the three in its home, one may be ejected at 60%, but not two.
+#[test]
+fn floor_within_homes() {
+    let ingress = Ingress::new(3, 9, 60);
+    let scope = with_homes(&["region-1"]);
+    let names = || {
+        let chosen = ingress.chosen(&scope, SearchReach::Fleet);
+        chosen.into_iter().map(|(name, _)| name).collect::<Vec<_>>()
+    };
+    ingress.pool().servers[1].set_weight(0.0);
+    assert_eq!(names(), ["plans-4", "plans-7"]);
+    ingress.pool().servers[4].set_weight(0.0);
+    assert_eq!(names(), ["plans-1", "plans-4", "plans-7"]);
+}
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -11,7 +11,8 @@
 use hyper::{Response, body::Body, http::request::Parts};
 use ids::{MonoTime, Rank, WorkPriority};
 use route::{
-    AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, PlanAction, PlanEvent, PlanOptions,
+    AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, HomeRegions, PlanAction, PlanEvent,
+    PlanOptions, RequestScope,
 };
 
 use tokio::sync::mpsc;
@@ -48,6 +49,8 @@
     pub rank: Rank,
     /// Priority among otherwise equal requests when not all can be served.
     pub work_priority: WorkPriority,
+    /// Regions that the request may be run in.
+    pub homes: HomeRegions,
     /// Maximum number of backend servers that may run the request.
     pub max_attempts: Option<u32>,
     /// Whether the request is internal work.
@@ -87,6 +90,7 @@
         replay: Option<Bytes>,
         options: RunOptions,
     ) -> Self {
+        let scope = RequestScope::new(options.homes.clone());
         let source = RequestSource {
             number: rand::random(),
             options,
@@ -94,7 +98,7 @@
             replay,
             body: Mutex::new(Some(body)),
             committed_to: Mutex::default(),
-            scope: Mutex::default(),
+            scope: Mutex::new(scope),
             shortest_wait: Mutex::default(),
         };
         Self {
