Zones: nothing waits for daemons that are gone

The search offered such requests to servers whose daemons had been gone for long, as the last resort or because the time for which they are avoided had just ended, and waited 0.7 s for each. When that time ended, all requests at once chose the server, since it looked idle, and lost 40 ms each.

A daemon counts as gone after three offers without a reply over more than 0.7 s, unless all daemons of the pool are. It is no last resort, and the search abandons an offer to it when it becomes silent, after 40 ms. While one request finds out whether a daemon replies again, the others avoid it for 80 ms. Ruled out: rate tokens, pulls of configuration and connections, whose waits are bounded by less than that or start beside each other.

--- a/crates/hop/src/lib.rs
+++ b/crates/hop/src/lib.rs
@@ -14,6 +14,7 @@
 mod book;
 mod message;
 mod notice;
+mod offer;
 mod search;
 
 pub use book::{OfferKey, OfferStatus, OfferTable};
--- a/crates/hop/src/search.rs
+++ b/crates/hop/src/search.rs
@@ -14,28 +14,8 @@
 
 use ids::MonoTime;
 
-use crate::{EgressIncarnation, NotRun, OfferId, OfferReply};
+use crate::{EgressIncarnation, NotRun, OfferId, OfferReply, offer::OpenOffer};
 
-/// Time without a reply after which an offer is sent again for the first time. The
-/// time doubles with each repetition, up to the maximum, so that little is sent
-/// into a partition.
-const REPEAT_AFTER: Duration = Duration::from_millis(25);
-const MAX_REPEAT_AFTER: Duration = Duration::from_millis(200);
-/// Time without a reply after which a daemon counts as silent and another
-/// server is asked as well.
-const SILENT_AFTER: Duration = Duration::from_millis(40);
-/// Time without a reply, in addition to the heartbeat interval of the offer,
-/// after which the search gives up on a daemon.
-const GIVE_UP_AFTER: Duration = Duration::from_millis(550);
-/// Bounds of the time between heartbeats of a waiting offer. The interval grows
-/// with the age of the offer, so that a long queue does not cost its egress
-/// more messages than new offers do.
-const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
-const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Ratio of the age of a waiting offer to its heartbeat interval.
-const HEARTBEAT_DIVISOR: u32 = 2;
-/// Time that an offer waits before a second server is asked.
-const TIE_AFTER: Duration = Duration::from_millis(15);
 /// Maximum number of concurrent offers of one request, without those to silent
 /// daemons.
 const MAX_OPEN_OFFERS: usize = 2;
@@ -69,6 +49,9 @@
     Reply(OfferId, OfferReply),
     /// There is no server left to make this offer to.
     NoServer(OfferId),
+    /// The daemon to which the offer was made has been silent for so long that this
+    /// offer is not waited for.
+    Abandoned(OfferId),
     /// Time has passed.
     Tick,
 }
@@ -100,60 +83,6 @@
     Fail(Option<NotRun>),
 }
 
-/// Offer without a final reply.
-#[derive(Clone, Copy, Debug)]
-struct OpenOffer {
-    id: OfferId,
-    made_at: MonoTime,
-    sent_at: MonoTime,
-    replied_at: Option<MonoTime>,
-    /// Number of repetitions since the offer was made or last replied to.
-    repeats: u32,
-    /// Wait for a slot that the egress last reported, in microseconds.
-    delay_us: u64,
-    reach: SearchReach,
-    /// Whether another server was asked in addition.
-    tied: bool,
-    /// Whether the daemon counts as silent, so that another server may be asked
-    /// in its place.
-    silent: bool,
-}
-
-impl OpenOffer {
-    /// Returns when the offer must be sent again.
-    fn repeat_at(&self) -> MonoTime {
-        match self.replied_at {
-            Some(_) => self.sent_at + self.heartbeat_interval(),
-            None => {
-                let interval = REPEAT_AFTER * 2_u32.saturating_pow(self.repeats);
-                self.sent_at + interval.min(MAX_REPEAT_AFTER)
-            }
-        }
-    }
-
-    /// Returns when another server may be asked in addition.
-    fn tie_at(&self) -> MonoTime {
-        match self.replied_at {
-            Some(_) => self.made_at + TIE_AFTER,
-            None => self.made_at + SILENT_AFTER,
-        }
-    }
-
-    /// Returns when the search gives up on the daemon.
-    fn give_up_at(&self) -> MonoTime {
-        self.replied_at.unwrap_or(self.made_at) + self.heartbeat_interval() + GIVE_UP_AFTER
-    }
-
-    /// Returns the time between heartbeats, from the time between the making of
-    /// the offer and its latest reply.
-    fn heartbeat_interval(&self) -> Duration {
-        let age = self
-            .replied_at
-            .map_or(Duration::ZERO, |time| time.since(self.made_at));
-        (age / HEARTBEAT_DIVISOR).clamp(MIN_HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL)
-    }
-}
-
 /// Searches for a slot for one request.
 #[derive(Clone, Debug)]
 pub struct SlotSearch {
@@ -202,6 +131,7 @@
             }
             SearchEvent::Reply(id, reply) => self.handle_reply(now, id, reply, &mut actions),
             SearchEvent::NoServer(id) => self.cancel_offer(id, &mut actions),
+            SearchEvent::Abandoned(id) => self.abandon_offer(now, id, &mut actions),
             SearchEvent::Tick => self.handle_tick(now, &mut actions),
         }
         actions
@@ -311,6 +241,18 @@
         }
     }
 
+    /// Gives up on a daemon that has not replied to an offer.
+    fn abandon_offer(&mut self, now: MonoTime, id: OfferId, actions: &mut Vec<SearchAction>) {
+        let without_reply = |offer: &OpenOffer| offer.id == id && offer.replied_at.is_none();
+        let Some(index) = self.open.iter().position(without_reply) else {
+            return;
+        };
+        self.open.swap_remove(index);
+        self.reason = Some(self.reason.unwrap_or(NotRun::Unreachable));
+        actions.push(SearchAction::Withdraw(id));
+        self.continue_search(now, actions);
+    }
+
     /// Returns when another server may be asked in addition to that of an offer.
     fn tie_at(&self, offer: &OpenOffer) -> MonoTime {
         match offer.replied_at {
--- a/crates/hop/tests/slot_search.rs
+++ b/crates/hop/tests/slot_search.rs
@@ -370,3 +370,47 @@
     assert!(repeats[0] <= at(26), "{repeats:?}");
     assert!(now <= at(800), "{now}");
 }
+
+// Guards against a refusal that waits for a daemon that has been gone for long, while
+// all others have refused.
+#[test]
+fn gone_daemon_is_abandoned() {
+    let mut search = search();
+    assert_eq!(search.handle(at(26), SearchEvent::Tick).len(), 1);
+    let actions = search.handle(at(41), SearchEvent::Tick);
+    let expected = [SearchAction::RecordSilent(OfferId(0)), offer(1)];
+    assert_eq!(actions, expected);
+    let actions = search.handle(at(41), SearchEvent::Abandoned(OfferId(0)));
+    assert_eq!(actions, [SearchAction::Withdraw(OfferId(0))]);
+    let actions = search.handle(at(42), refused(1, NotRun::Limited));
+    assert_eq!(actions, [last_resort(2)]);
+    let actions = search.handle(at(42), SearchEvent::NoServer(OfferId(2)));
+    assert_eq!(actions, [SearchAction::Fail(Some(NotRun::Unreachable))]);
+}
+
+// Guards against a search that ends because one daemon is gone, before it has asked
+// the others.
+#[test]
+fn others_asked_after_gone() {
+    let mut search = search();
+    let actions = search.handle(at(10), SearchEvent::Abandoned(OfferId(0)));
+    assert_eq!(
+        actions,
+        [SearchAction::Withdraw(OfferId(0)), last_resort(1)]
+    );
+    let actions = search.handle(at(11), granted(1));
+    let expected = [SearchAction::Commit(OfferId(1), EgressIncarnation(7))];
+    assert_eq!(actions, expected);
+}
+
+// Guards against an offer that is withdrawn although its daemon has replied meanwhile.
+#[test]
+fn replying_daemon_is_kept() {
+    let mut search = search();
+    assert_eq!(search.handle(at(1), waiting(0)), []);
+    assert_eq!(search.handle(at(2), SearchEvent::Abandoned(OfferId(0))), []);
+    assert_eq!(search.handle(at(2), SearchEvent::Abandoned(OfferId(9))), []);
+    let actions = search.handle(at(3), granted(0));
+    let expected = [SearchAction::Commit(OfferId(0), EgressIncarnation(7))];
+    assert_eq!(actions, expected);
+}
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -136,7 +136,11 @@
                                 offers.channel.withdraw(&vm, id);
                             }
                         }
-                        SearchAction::RecordSilent(id) => self.record_silence(id),
+                        SearchAction::RecordSilent(id) => {
+                            if self.record_silence(id) {
+                                events.push_back(SearchEvent::Abandoned(id));
+                            }
+                        }
                         SearchAction::Commit(id, incarnation) => {
                             offers.remove(id);
                             if let Some(choice) = self.offers.remove(&id) {
@@ -228,6 +232,7 @@
         if is_canary {
             self.canary = Some(CanaryGuard::new(self.ingress, &choice.server));
         }
+        choice.server.record_offer();
         self.asked.push(choice.server.backend.id.clone());
         let vm = choice.server.backend.vm.clone();
         let notice = choice.server.notice();
@@ -319,13 +324,18 @@
         }
     }
 
-    /// Records that the daemon on the VM of a server does not reply.
-    fn record_silence(&self, id: OfferId) {
-        if let Some(choice) = self.offers.get(&id) {
-            let trace = &self.options().trace;
-            trace.record_step(&choice.server.backend.id, "silent");
-            choice.server.record_silence();
-            self.report_unreachable(&choice.server);
-        }
+    /// Records that the daemon on the VM of a server does not reply. Returns whether the
+    /// offer is not to be waited for, because the daemon is gone.
+    fn record_silence(&self, id: OfferId) -> bool {
+        let Some(choice) = self.offers.get(&id) else {
+            return false;
+        };
+        let trace = &self.options().trace;
+        trace.record_step(&choice.server.backend.id, "silent");
+        choice.server.record_silence();
+        self.report_unreachable(&choice.server);
+        let scope = lock(&self.source.scope).clone();
+        self.pool
+            .is_gone(&self.ingress.view, &scope, &choice.server)
     }
 }
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -57,7 +57,8 @@
     ///
     /// A server that is considered failing, or whose daemon does not reply, is
     /// chosen only if there is no other. The choice is then marked as forced,
-    /// and the server may be in `tried`.
+    /// and the server may be in `tried`. One whose daemon is gone is not chosen in this
+    /// way, unless all are.
     pub fn choose(
         &self,
         view: &FleetView,
@@ -93,8 +94,10 @@
             None if reach == SearchReach::Zone => return None,
             None => {}
         }
+        let all_gone = states.iter().all(|state| state.is_gone());
         let failing = |state: &&Arc<ServerState>| {
-            !state.notice().leaving && (state.is_failing(false) || state.is_silent())
+            let excluded = state.notice().leaving || (state.is_gone() && !all_gone);
+            !excluded && (state.is_failing(false) || state.is_silent())
         };
         let server = choose_among(states.into_iter().filter(failing).collect(), rules)?;
         Some(ServerChoice {
--- a/crates/serve/src/pool/scope.rs
+++ b/crates/serve/src/pool/scope.rs
@@ -42,6 +42,18 @@
         self.servers.iter().filter(usable).collect()
     }
 
+    /// Whether the daemon of a server is gone while those of others that the request may
+    /// be sent to are not. Then the request does not wait for it.
+    pub fn is_gone(
+        &self,
+        view: &FleetView,
+        scope: &RequestScope,
+        server: &Arc<ServerState>,
+    ) -> bool {
+        let mut others = self.servers_in(view, scope).into_iter();
+        server.is_gone() && others.any(|other| !other.is_gone())
+    }
+
     /// Returns the refusal of a request that none of the servers may run, or `None`
     /// if at least one may.
     pub fn scope_refusal(&self, view: &FleetView, scope: &RequestScope) -> Option<Refusal> {
--- a/crates/serve/src/pool/scope_tests.rs
+++ b/crates/serve/src/pool/scope_tests.rs
@@ -1,5 +1,5 @@
-//! Choice of servers in a pool with evacuated zones, and of requests with homes, without
-//! a network.
+//! Choice of servers in a pool with evacuated zones, of requests with homes, and past
+//! daemons that are gone, without a network.
 
 use std::{sync::Arc, time::Duration};
 
@@ -313,3 +313,64 @@
     ingress.pool().servers[4].set_weight(0.0);
     assert_eq!(names(), ["plans-1", "plans-4", "plans-7"]);
 }
+
+/// Makes the daemon of a server silent for `rounds` offers, each noticed after the time
+/// for which the server was avoided because of the one before.
+async fn silence(ingress: &Ingress, server: usize, rounds: u64) {
+    let pool = ingress.pool();
+    for round in 0..rounds {
+        pool.servers[server].record_silence();
+        tokio::time::sleep(Duration::from_millis(160 << round)).await;
+    }
+}
+
+/// Creates the daemon with three servers in its zone. Of two candidates, the server on
+/// its own VM is always better, so another one is chosen only if all three may be.
+fn one_zone() -> Ingress {
+    Ingress::new(1, 3, 0)
+}
+
+// Guards against requests that all wait for a daemon that is gone, each time that it is
+// tried again: only one finds out whether it replies.
+#[tokio::test]
+async fn single_probe() {
+    let ingress = one_zone();
+    let is_chosen = || ingress.chosen_names().contains(&"plans-1".to_owned());
+    silence(&ingress, 1, 1).await;
+    assert!(is_chosen(), "it is not tried again");
+    let server = &ingress.pool().servers[1];
+    server.record_offer();
+    assert!(!is_chosen(), "a second request waits for it");
+    server.record_reply();
+    server.record_offer();
+    assert!(is_chosen(), "it is avoided after its reply");
+}
+
+// Guards against a last resort to a daemon that is gone while another is there, and
+// against a pool that refuses everything because all its daemons were silent.
+#[tokio::test]
+async fn gone_is_no_last_resort() {
+    let ingress = one_zone();
+    let scope = RequestScope::default();
+    let pool = ingress.pool();
+    let gone = |server: usize| pool.is_gone(&ingress.view, &scope, &pool.servers[server]);
+    let record_all = || {
+        pool.servers
+            .iter()
+            .for_each(|server| server.record_silence())
+    };
+    silence(&ingress, 1, 3).await;
+    assert!(gone(1) && !gone(0) && !gone(2));
+    record_all();
+    let chosen = ingress.chosen(&scope, SearchReach::Fleet);
+    let is_other = |(name, forced): &(String, bool)| name != "plans-1" && *forced;
+    assert!(
+        !chosen.is_empty() && chosen.iter().all(is_other),
+        "{chosen:?}"
+    );
+    tokio::join!(silence(&ingress, 0, 3), silence(&ingress, 2, 3));
+    record_all();
+    let any_gone = (0..3).any(gone);
+    assert!(!any_gone, "the request has nothing else to wait for");
+    assert!(!ingress.chosen(&scope, SearchReach::Fleet).is_empty());
+}
--- a/crates/serve/src/pool/server.rs
+++ b/crates/serve/src/pool/server.rs
@@ -34,6 +34,15 @@
 /// First and longest time for which a server is avoided whose daemon does not
 /// reply, in milliseconds. The time doubles while there is no reply.
 const SILENT_MS: u64 = 150;
+/// Time without a reply after which the daemon of a server counts as gone: as long as a
+/// search waits for a daemon that does not reply.
+const GONE_MS: u64 = 700;
+/// Number of consecutive offers without a reply from which the daemon of a server counts
+/// as gone. Single datagrams get lost.
+const GONE_OFFERS: u32 = 3;
+/// Time for which other requests avoid a server whose daemon did not reply, while one
+/// request finds out whether it replies again. A search takes 40 ms to notice.
+const PROBE_MS: u64 = 80;
 /// Time for which a notice of a server is used after it was last passed on, in
 /// milliseconds.
 const NOTICE_MS: u64 = 10_000;
@@ -69,6 +78,12 @@
     /// End of the time for which the server is avoided because its daemon did not
     /// reply, in milliseconds from `start`.
     silent_until_ms: AtomicU64,
+    /// Time of the first of these offers that was noticed, in milliseconds from `start`,
+    /// plus one; zero while the daemon replies.
+    silent_since_ms: AtomicU64,
+    /// End of the time for which other requests wait for the result of a probe, in
+    /// milliseconds from `start`.
+    probe_until_ms: AtomicU64,
     /// What the server says about itself, and when that was last passed on, in
     /// milliseconds from `start`.
     notice: Mutex<(ServerNotice, u64)>,
@@ -96,6 +111,8 @@
             failing_ms: AtomicU64::new(0),
             offers_without_reply: AtomicU32::new(0),
             silent_until_ms: AtomicU64::new(0),
+            silent_since_ms: AtomicU64::new(0),
+            probe_until_ms: AtomicU64::new(0),
             notice: Mutex::default(),
         }
     }
@@ -187,6 +204,10 @@
         if now < self.silent_until_ms.load(Ordering::Relaxed) {
             return;
         }
+        // Fails if an earlier offer had no reply, whose time then counts.
+        let _ =
+            self.silent_since_ms
+                .compare_exchange(0, now + 1, Ordering::Relaxed, Ordering::Relaxed);
         let before = self.offers_without_reply.fetch_add(1, Ordering::Relaxed);
         let pause = (SILENT_MS << before.min(6)).min(MAX_SILENT_MS);
         self.silent_until_ms.store(now + pause, Ordering::Relaxed);
@@ -196,11 +217,32 @@
     pub fn record_reply(&self) {
         self.offers_without_reply.store(0, Ordering::Relaxed);
         self.silent_until_ms.store(0, Ordering::Relaxed);
+        self.silent_since_ms.store(0, Ordering::Relaxed);
+        self.probe_until_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// Records that an offer is made. If the daemon did not reply to the last one, other
+    /// requests avoid the server until it is known whether it replies again.
+    pub fn record_offer(&self) {
+        if self.silent_since_ms.load(Ordering::Relaxed) > 0 {
+            let until = self.age_ms() + PROBE_MS;
+            self.probe_until_ms.store(until, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the daemon on the server's VM has not replied for longer than a search
+    /// waits for it.
+    pub(super) fn is_gone(&self) -> bool {
+        let since = self.silent_since_ms.load(Ordering::Relaxed);
+        let offers = self.offers_without_reply.load(Ordering::Relaxed);
+        since > 0 && offers >= GONE_OFFERS && self.age_ms() + 1 >= since + GONE_MS
     }
 
     /// Whether the server is avoided because its daemon did not reply.
     pub(super) fn is_silent(&self) -> bool {
-        self.age_ms() < self.silent_until_ms.load(Ordering::Relaxed)
+        let now = self.age_ms();
+        now < self.silent_until_ms.load(Ordering::Relaxed)
+            || now < self.probe_until_ms.load(Ordering::Relaxed)
     }
 
     /// Sets the share of its ordinary traffic that the server may take, 0 to 1.
