--- a/crates/config/tests/checked_keys.rs
+++ b/crates/config/tests/checked_keys.rs
@@ -15,6 +15,7 @@
         burst: TokenAmount::whole(1),
         weight: Weight(1),
         rank: None,
+        homes: Vec::new(),
     };
     builder.put(Record::Account(account)).unwrap();
     if has_key {
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -87,6 +87,9 @@
     /// Number of offers that were refused because they do not fit the rate of a cold
     /// backend server of this VM.
     pub cold_refused: Counter,
+    /// Number of services, with the homes of requests, for which the latest request
+    /// found no backend server.
+    pub unserved_homes: Gauge,
     /// Number of requests that wait for a slot at the egress.
     pub waiting: Gauge,
     /// Number of requests that hold a slot at the egress.
@@ -121,6 +124,7 @@
             evacuated_services: Gauge::default(),
             cold_servers: Gauge::default(),
             cold_refused: Counter::default(),
+            unserved_homes: Gauge::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
         };
@@ -253,6 +257,11 @@
             "Offers that do not fit the rate of a cold backend server of this VM",
             self.cold_refused.clone(),
         );
+        registry.register(
+            "unserved_homes",
+            "Services without a backend server in the regions that requests allow",
+            self.unserved_homes.clone(),
+        );
         registry.register("waiting", "Jobs that wait for a slot", self.waiting.clone());
         registry.register("running", "Jobs that hold a slot", self.running.clone());
     }
--- a/crates/serve/src/pool/scope_tests.rs
+++ b/crates/serve/src/pool/scope_tests.rs
@@ -1,12 +1,13 @@
-//! Choice of servers in a pool with evacuated zones, without a network.
+//! Choice of servers in a pool with evacuated zones, of requests with homes, and past
+//! daemons that are gone, without a network.
 
 use std::{sync::Arc, time::Duration};
 
 use config::{ConfigTable, Record, TableBuilder};
 use fakes::{Deployment, DeploymentShape, ServiceShape};
 use hop::SearchReach;
-use ids::{Percent, Revision};
-use route::RequestScope;
+use ids::{Percent, RegionId, Revision};
+use route::{HomeRegions, RequestScope};
 
 use super::{ChoiceOptions, PoolState, PoolTable};
 use crate::{
@@ -66,8 +67,14 @@
         };
         let mut records = Deployment::new(&shape, b"a secret for tests only").records;
         for record in &mut records {
-            if let Record::Service(service) = record {
-                service.floor = Percent(floor);
+            match record {
+                Record::Service(service) => service.floor = Percent(floor),
+                // Each zone is a region of its own, of the same number.
+                Record::Zone(zone) => {
+                    let number = zone.id.as_str().replace("zone", "region");
+                    zone.region = number.parse().unwrap();
+                }
+                _ => {}
             }
         }
         let settings = settings();
@@ -247,3 +254,125 @@
     ];
     assert_eq!(ingress.chosen_names(), expected);
 }
+
+/// Returns the scope of a request with homes.
+fn with_homes(names: &[&str]) -> RequestScope {
+    let regions: Vec<RegionId> = names.iter().map(|name| name.parse().unwrap()).collect();
+    RequestScope::new(HomeRegions::new(&regions, &[]))
+}
+
+// Guards against requests that leave their homes, in a choice of any kind: ordinary,
+// as last resort, or as a canary.
+#[test]
+fn homes_kept() {
+    let ingress = Ingress::new(3, 6, 60);
+    let scope = with_homes(&["region-1", "region-2"]);
+    let names = |forced: bool| {
+        let chosen = ingress.chosen(&scope, SearchReach::Fleet);
+        assert!(chosen.iter().all(|(_, other)| *other == forced));
+        chosen.into_iter().map(|(name, _)| name).collect::<Vec<_>>()
+    };
+    let expected = ["plans-1", "plans-2", "plans-4", "plans-5"];
+    assert_eq!(names(false), expected);
+    assert!(ingress.chosen(&scope, SearchReach::Zone).is_empty());
+    let pool = ingress.pool();
+    pool.servers[0].set_canary(true);
+    assert!(pool.choose_canary(&ingress.view, &scope).is_none());
+    for server in &pool.servers {
+        server.record_silence();
+    }
+    assert_eq!(names(true), expected);
+}
+
+// Guards against a refusal that names the wrong reason, or none although no server is
+// left.
+#[test]
+fn home_without_servers() {
+    let ingress = Ingress::new(2, 4, 60);
+    let refusal = |scope: &RequestScope| ingress.pool().scope_refusal(&ingress.view, scope);
+    let (home, elsewhere) = (with_homes(&["region-1"]), with_homes(&["region-7"]));
+    assert!(refusal(&home).is_none());
+    assert_eq!(refusal(&elsewhere), Some(Refusal::OutsideHomes));
+    assert!(Refusal::OutsideHomes.retry_after().is_some());
+    ingress.evacuate(&["zone-1"]);
+    assert!(is_evacuated(refusal(&home)));
+    assert!(refusal(&RequestScope::default()).is_none());
+    assert_eq!(refusal(&elsewhere), Some(Refusal::OutsideHomes));
+}
+
+// Guards against a floor that is computed from servers that the request can't use: of
+// the three in its home, one may be ejected at 60%, but not two.
+#[test]
+fn floor_within_homes() {
+    let ingress = Ingress::new(3, 9, 60);
+    let scope = with_homes(&["region-1"]);
+    let names = || {
+        let chosen = ingress.chosen(&scope, SearchReach::Fleet);
+        chosen.into_iter().map(|(name, _)| name).collect::<Vec<_>>()
+    };
+    ingress.pool().servers[1].set_weight(0.0);
+    assert_eq!(names(), ["plans-4", "plans-7"]);
+    ingress.pool().servers[4].set_weight(0.0);
+    assert_eq!(names(), ["plans-1", "plans-4", "plans-7"]);
+}
+
+/// Makes the daemon of a server silent for `rounds` offers, each noticed after the time
+/// for which the server was avoided because of the one before.
+async fn silence(ingress: &Ingress, server: usize, rounds: u64) {
+    let pool = ingress.pool();
+    for round in 0..rounds {
+        pool.servers[server].record_silence();
+        tokio::time::sleep(Duration::from_millis(160 << round)).await;
+    }
+}
+
+/// Creates the daemon with three servers in its zone. Of two candidates, the server on
+/// its own VM is always better, so another one is chosen only if all three may be.
+fn one_zone() -> Ingress {
+    Ingress::new(1, 3, 0)
+}
+
+// Guards against requests that all wait for a daemon that is gone, each time that it is
+// tried again: only one finds out whether it replies.
+#[tokio::test]
+async fn single_probe() {
+    let ingress = one_zone();
+    let is_chosen = || ingress.chosen_names().contains(&"plans-1".to_owned());
+    silence(&ingress, 1, 1).await;
+    assert!(is_chosen(), "it is not tried again");
+    let server = &ingress.pool().servers[1];
+    server.record_offer();
+    assert!(!is_chosen(), "a second request waits for it");
+    server.record_reply();
+    server.record_offer();
+    assert!(is_chosen(), "it is avoided after its reply");
+}
+
+// Guards against a last resort to a daemon that is gone while another is there, and
+// against a pool that refuses everything because all its daemons were silent.
+#[tokio::test]
+async fn gone_is_no_last_resort() {
+    let ingress = one_zone();
+    let scope = RequestScope::default();
+    let pool = ingress.pool();
+    let gone = |server: usize| pool.is_gone(&ingress.view, &scope, &pool.servers[server]);
+    let record_all = || {
+        pool.servers
+            .iter()
+            .for_each(|server| server.record_silence())
+    };
+    silence(&ingress, 1, 3).await;
+    assert!(gone(1) && !gone(0) && !gone(2));
+    record_all();
+    let chosen = ingress.chosen(&scope, SearchReach::Fleet);
+    let is_other = |(name, forced): &(String, bool)| name != "plans-1" && *forced;
+    assert!(
+        !chosen.is_empty() && chosen.iter().all(is_other),
+        "{chosen:?}"
+    );
+    tokio::join!(silence(&ingress, 0, 3), silence(&ingress, 2, 3));
+    record_all();
+    let any_gone = (0..3).any(gone);
+    assert!(!any_gone, "the request has nothing else to wait for");
+    assert!(!ingress.chosen(&scope, SearchReach::Fleet).is_empty());
+}
