--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -27,6 +27,9 @@
 type Handler =
     dyn Fn(Request<Incoming>) -> BoxFuture<'static, Option<Response<StubBody>>> + Send + Sync;
 
+/// Maximum number of header fields of a request, more than a daemon forwards.
+const MAX_HEAD_FIELDS: usize = 2_048;
+
 /// An HTTP server that runs until it is stopped.
 #[derive(Debug)]
 pub struct StubServer {
@@ -101,6 +104,7 @@
         }
     });
     let _ = http1::Builder::new()
+        .max_headers(MAX_HEAD_FIELDS)
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
--- a/crates/serve/src/answer.rs
+++ b/crates/serve/src/answer.rs
@@ -31,6 +31,10 @@
     NoRoute,
     /// The request has no valid host, or its body broke off.
     BadRequest,
+    /// The body is larger than allowed, and nothing of it was sent on.
+    BodyTooLarge,
+    /// The body exceeded the allowed size after a part of it was sent on.
+    BodyOverrun,
     /// The body, or the first part of a large one, did not arrive in time.
     SlowRequest,
     /// No backend server of the service is in rotation.
@@ -53,6 +57,7 @@
             Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge | Self::BodyOverrun => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
             Self::PoolDown | Self::NoHome | Self::NotReady | Self::Isolated | Self::NotRun(..) => {
                 StatusCode::SERVICE_UNAVAILABLE
@@ -66,7 +71,7 @@
     /// may have run.
     pub fn outcome(self) -> &'static str {
         match self {
-            Self::Unknown(_) => "unknown",
+            Self::Unknown(_) | Self::BodyOverrun => "unknown",
             _ => "not-run",
         }
     }
@@ -101,6 +106,7 @@
             Self::NoHome => f.write_str("no rate tokens within reach"),
             Self::NoRoute => f.write_str("no route for this host and path"),
             Self::BadRequest => f.write_str("bad request"),
+            Self::BodyTooLarge | Self::BodyOverrun => f.write_str("body too large"),
             Self::SlowRequest => f.write_str("request too slow"),
             Self::PoolDown => f.write_str("no backend server in rotation"),
             Self::NotReady => f.write_str("no configuration yet"),
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     admin::AdminHandler,
+    caller::{CallerCrowd, CallerFront, LimitSource},
     clock::MonoClock,
     control::{
         ControlLoop, ControlParts, PeerSender, PeerSocket, PlatformWatcher, bind_datagrams,
@@ -27,7 +28,7 @@
     gate::RateLimiter,
     hop::HopTransport,
     ingress::Ingress,
-    listener::{HttpListener, ListenerLimits},
+    listener::{HttpListener, ListenerLimits, MAX_HEAD_FIELDS, serve_connection},
     metrics::MetricSet,
     peer::PeerHandler,
     pool::PoolTable,
@@ -45,6 +46,11 @@
 const MAX_ADMIN_CONNECTIONS: usize = 64;
 /// Time that a connection from a peer may be idle between requests.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
+/// Additional size of the head of an attempt, which holds metadata beside the head
+/// of the caller's request, in bytes.
+const METADATA_BYTES: usize = 8_192;
+/// Number of additional header fields of an attempt.
+const METADATA_FIELDS: usize = 64;
 /// Interval between checks of whether the egress has finished its requests.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of further ports that are tried if the system chooses the peer port.
@@ -171,13 +177,14 @@
         let caller_limits = ListenerLimits {
             connections: budgets.connections,
             head_bytes: budgets.head_bytes,
+            head_fields: MAX_HEAD_FIELDS,
             head_timeout: budgets.head_timeout(),
             adds_date: true,
         };
         let peer_limits = ListenerLimits {
             connections: MAX_PEER_CONNECTIONS,
-            // The head of an attempt holds metadata beside the caller's head.
-            head_bytes: budgets.head_bytes + 8_192,
+            head_bytes: budgets.head_bytes,
+            head_fields: MAX_HEAD_FIELDS + METADATA_FIELDS,
             head_timeout: PEER_IDLE_TIMEOUT,
             // The ingress adds the date if the backend server gave none.
             adds_date: false,
@@ -265,6 +272,10 @@
             answer_lines: LineLimiter::new(Ingress::ANSWER_LINES_PER_S),
             failure_lines: LineLimiter::new(Ingress::FAILURE_LINES_PER_S),
         });
+        let limits = LimitSource {
+            view: Arc::clone(&view),
+            settings: Arc::clone(&live_settings),
+        };
         let handler = Arc::new(PeerHandler {
             egress: Arc::clone(&egress),
             seal: seal.clone(),
@@ -280,6 +291,18 @@
             clock,
             control: control.clone(),
         });
+        let crowd = Arc::new(CallerCrowd::new(
+            limits.clone(),
+            clock,
+            Arc::clone(&metrics),
+        ));
+        let front = Arc::new(CallerFront {
+            ingress,
+            limits: limits.clone(),
+            crowd: Arc::clone(&crowd),
+        });
+        let mut callers = self.ingress;
+        callers.watch(crowd);
         let is_reader = Arc::new(AtomicBool::new(true));
         let watcher = PlatformWatcher {
             view: Arc::clone(&view),
@@ -304,19 +327,27 @@
         let stops = [(); 3].map(|()| StopSource::default());
         let groups = [(); 3].map(|()| TaskGroup::new());
         let accepted = [(); 3].map(|()| Arc::new(TaskGroup::new()));
-        groups[0].spawn(self.ingress.run(
-            move |request| {
-                let ingress = Arc::clone(&ingress);
-                async move { ingress.serve(request).await }
-            },
+        groups[0].spawn(callers.run_with(
+            move |stream, stop| Arc::clone(&front).serve(stream, stop),
             stops[0].signal(),
             Arc::clone(&accepted[0]),
         ));
-        groups[1].spawn(self.peer.run(
-            move |request| {
+        let peer_limits = self.peer.limits();
+        let serve_peer = move |stream, stop| {
+            let allowed = limits.get().head_bytes.max(peer_limits.head_bytes);
+            let limits = ListenerLimits {
+                head_bytes: allowed + METADATA_BYTES,
+                ..peer_limits
+            };
+            let handler = Arc::clone(&handler);
+            let serve = move |request| {
                 let handler = Arc::clone(&handler);
                 async move { handler.serve(request).await }
-            },
+            };
+            serve_connection(stream, serve, limits, stop)
+        };
+        groups[1].spawn(self.peer.run_with(
+            serve_peer,
             stops[1].signal(),
             Arc::clone(&accepted[1]),
         ));
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -26,6 +26,7 @@
     body::{
         BufferedBody, DeadlineBody, PrefixedBody, ProxyBody, TimeoutBody, buffer_body, full_body,
     },
+    caller::{OverrunFlag, SizedBody},
     clock::MonoClock,
     control::ControlSender,
     edge::{CallerMetadata, EdgeCodec},
@@ -117,12 +118,7 @@
 
 impl Ingress {
     /// Answers a caller's request.
-    pub async fn serve<B>(self: &Arc<Self>, request: Request<B>) -> Response<ProxyBody>
-    where
-        B: Body<Data = Bytes> + Send + 'static,
-        B::Error: Into<crate::body::BodyError>,
-    {
-        let request = request.map(crate::body::box_body);
+    pub async fn serve(self: &Arc<Self>, request: Request<ProxyBody>) -> Response<ProxyBody> {
         let id = self.codec.request_id(request.headers());
         let id = id.and_then(|id| id.to_str().map(str::to_owned).ok());
         let id = id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
@@ -210,7 +206,13 @@
         let revision = self.view.table().revision().get();
         let access = context.route.access;
         trace.record_admission(&context.pool.service.id, account, access, revision);
-        let (body, replay) = self.buffer_small_body(body).await?;
+        let overrun = OverrunFlag::default();
+        let body = self.limit_body(body, &overrun)?;
+        let buffered = self.buffer_small_body(body).await;
+        let (body, replay) = buffered.map_err(|refusal| match overrun.is_set() {
+            true => Refusal::BodyTooLarge,
+            false => refusal,
+        })?;
         let token = match &context.caller {
             Some((_, account)) if account.is_limited() => {
                 Some(self.limiter.take(&account.id).await?)
@@ -246,7 +248,10 @@
             (Some(token), _) => token.spend(),
             (None, _) => {}
         }
-        let response = result?;
+        let response = result.map_err(|refusal| match refusal {
+            Refusal::Unknown(_) if overrun.is_set() => Refusal::BodyOverrun,
+            refusal => refusal,
+        })?;
         Ok(match body_deadline {
             Some(deadline) if !response.body().is_end_stream() => {
                 let deadline = self.clock.instant(deadline);
@@ -319,6 +324,18 @@
         }
     }
 
+    /// Limits the size of a body, as the configuration demands.
+    fn limit_body(&self, body: ProxyBody, overrun: &OverrunFlag) -> Result<ProxyBody, Refusal> {
+        match self.view.limits().body_bytes {
+            Some(limit) if body.size_hint().lower() > limit => Err(Refusal::BodyTooLarge),
+            // A body of unknown length shows its size only while it is read.
+            Some(limit) if body.size_hint().exact().is_none() => {
+                Ok(SizedBody::new(body, limit, overrun.clone()).boxed_unsync())
+            }
+            _ => Ok(body),
+        }
+    }
+
     /// Buffers a small body so that it can be sent again. Returns the body to
     /// send, and its bytes if it was buffered completely.
     async fn buffer_small_body(
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -12,6 +12,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod caller;
 mod clock;
 mod control;
 mod daemon;
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -17,11 +17,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Notify, Semaphore},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore},
 };
 
 use crate::{
     body::ProxyBody,
+    caller::CallerCrowd,
     ledger::{MeteredStream, StreamMeter},
     task::{StopSignal, TaskGroup},
 };
@@ -33,7 +34,12 @@
 const BACKLOG: u32 = 1_024;
 /// Time after `stop` in which a connection may still send its first request. Its
 /// caller can't know that the listener is stopping.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+pub const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+/// Maximum number of header fields of a request. The parser allocates room for all
+/// of them: 1.6 us for 1,024, and 8 us for the 4,096 that fit in 16 KB.
+pub const MAX_HEAD_FIELDS: usize = 1_024;
+/// Time between two attempts to make room while no further connection is allowed.
+const ROOM_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +49,8 @@
     pub connections: usize,
     /// Maximum size of the head of a request, in bytes.
     pub head_bytes: usize,
+    /// Maximum number of header fields of a request.
+    pub head_fields: usize,
     /// Maximum time until the head of a request is complete, which is also the
     /// maximum time that a connection may be idle.
     pub head_timeout: Duration,
@@ -55,6 +63,8 @@
 pub struct HttpListener {
     listener: TcpListener,
     limits: ListenerLimits,
+    /// Connections to close if there are too many, if they may be closed.
+    crowd: Option<Arc<CallerCrowd>>,
 }
 
 impl HttpListener {
@@ -73,9 +83,21 @@
         Ok(Self {
             listener: socket.listen(BACKLOG)?,
             limits,
+            crowd: None,
         })
     }
 
+    /// Returns the limits of the listener.
+    pub fn limits(&self) -> ListenerLimits {
+        self.limits
+    }
+
+    /// Has the connections of `crowd` closed if they exceed its limits or if there
+    /// is no room for new ones.
+    pub fn watch(&mut self, crowd: Arc<CallerCrowd>) {
+        self.crowd = Some(crowd);
+    }
+
     /// Returns the address that the listener is bound to.
     ///
     /// # Errors
@@ -88,59 +110,97 @@
     /// Accepts connections until `stop` is signaled, then lets the open ones
     /// finish. Returns when the last one has ended. The connections are tasks of
     /// `group`, so that its owner can wait for their end if this is aborted.
-    pub async fn run<H, F>(self, handler: H, mut stop: StopSignal, group: Arc<TaskGroup>)
+    pub async fn run<H, F>(self, handler: H, stop: StopSignal, group: Arc<TaskGroup>)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<ProxyBody>> + Send + 'static,
+    {
+        let limits = self.limits;
+        let serve = move |stream, stopping| {
+            let handler = handler.clone();
+            serve_connection(stream, handler, limits, stopping)
+        };
+        self.run_with(serve, stop, group).await;
+    }
+
+    /// Accepts connections like [`Self::run`], which `serve` serves until they end
+    /// or its stop signal has it shut them down.
+    pub async fn run_with<C, F>(self, serve: C, mut stop: StopSignal, group: Arc<TaskGroup>)
+    where
+        C: Fn(TcpStream, StopSignal) -> F + Send + Sync + 'static,
+        F: Future<Output = ()> + Send + 'static,
     {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let start = |(stream, permit), stopping| {
+            let served = serve(stream, stopping);
+            group.spawn(async move {
+                served.await;
+                drop(permit);
+            });
+        };
+        let watch = watch_crowd(self.crowd.clone());
+        tokio::pin!(watch);
         loop {
-            let stopping = stop.clone();
             tokio::select! {
-                accepted = accept(&self.listener, &permits) => {
-                    let Some((stream, permit)) = accepted else {
-                        tokio::time::sleep(ACCEPT_PAUSE).await;
-                        continue;
-                    };
-                    let handler = handler.clone();
-                    let limits = self.limits;
-                    group.spawn(async move {
-                        serve_connection(stream, handler, limits, stopping).await;
-                        drop(permit);
-                    });
-                }
+                accepted = self.accept(&permits) => match accepted {
+                    Some(accepted) => start(accepted, stop.clone()),
+                    None => tokio::time::sleep(ACCEPT_PAUSE).await,
+                },
+                () = &mut watch => {}
                 () = stop.stopped() => break,
             }
         }
         // Connections that wait to be accepted would be reset with the listener.
-        while let Some((stream, permit)) = accept(&self.listener, &permits).now_or_never().flatten()
-        {
-            let handler = handler.clone();
-            let (limits, stopping) = (self.limits, stop.clone());
-            group.spawn(async move {
-                serve_connection(stream, handler, limits, stopping).await;
-                drop(permit);
-            });
+        while let Some(accepted) = self.accept(&permits).now_or_never().flatten() {
+            start(accepted, stop.clone());
         }
         drop(self.listener);
-        group.join().await;
+        tokio::select! {
+            () = group.join() => {}
+            () = watch => {}
+        }
+    }
+
+    /// Accepts one connection as soon as the limit allows it; `None` if that fails.
+    async fn accept(&self, permits: &Arc<Semaphore>) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+        self.make_room(permits);
+        let acquired = Arc::clone(permits).acquire_owned();
+        tokio::pin!(acquired);
+        let permit = loop {
+            tokio::select! {
+                biased;
+                permit = &mut acquired => break permit.ok()?,
+                // A connection may have become idle since.
+                () = tokio::time::sleep(ROOM_INTERVAL) => self.make_room(permits),
+            }
+        };
+        let (stream, _) = self.listener.accept().await.ok()?;
+        let _ = stream.set_nodelay(true);
+        Some((stream, permit))
+    }
+
+    /// Closes the longest idle connections if there is little room for new ones.
+    fn make_room(&self, permits: &Semaphore) {
+        if let Some(crowd) = &self.crowd {
+            crowd.make_room(permits.available_permits(), self.limits.connections);
+        }
     }
 }
 
-/// Accepts one connection as soon as the limit allows it; `None` if that fails.
-async fn accept(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
-    let (stream, _) = listener.accept().await.ok()?;
-    let _ = stream.set_nodelay(true);
-    Some((stream, permit))
+/// Closes connections that exceed their limits. Never returns.
+async fn watch_crowd(crowd: Option<Arc<CallerCrowd>>) {
+    let Some(crowd) = crowd else {
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::time::sleep(crowd.sweep_interval()).await;
+        crowd.sweep();
+    }
 }
 
 /// Serves a connection until it ends. After `stop` is signaled, it answers only
 /// the request that it has already received, or its first one if that comes soon.
-async fn serve_connection<H, F>(
+pub async fn serve_connection<H, F>(
     stream: TcpStream,
     handler: H,
     limits: ListenerLimits,
@@ -164,6 +224,7 @@
         .header_read_timeout(limits.head_timeout)
         .auto_date_header(limits.adds_date)
         .max_buf_size(limits.head_bytes.max(8_192))
+        .max_headers(limits.head_fields)
         .serve_connection(
             TokioIo::new(MeteredStream::new(stream, Arc::clone(&meter))),
             service,
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -31,6 +31,13 @@
     pub service: String,
 }
 
+/// Label of a metric by the reason why a connection was closed.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct CloseLabel {
+    /// `idle`, `slow-head` or `crowded`.
+    pub reason: &'static str,
+}
+
 /// Metrics of a daemon.
 #[derive(Debug)]
 pub struct MetricSet {
@@ -68,6 +75,8 @@
     pub peer_messages: Family<OutcomeLabel, Counter>,
     /// Bytes sent to other daemons, by kind and distance.
     pub ledger: ByteLedger,
+    /// Number of callers' connections that the daemon closed, by reason.
+    pub closed: Family<CloseLabel, Counter>,
     /// Number of open connections of callers.
     pub connections: Gauge,
     /// Number of backend servers of this VM that have named a limit.
@@ -98,6 +107,7 @@
             contained_panics: Counter::default(),
             peer_messages: Family::default(),
             ledger: ByteLedger::default(),
+            closed: Family::default(),
             connections: Gauge::default(),
             limited_servers: Gauge::default(),
             waiting: Gauge::default(),
@@ -192,6 +202,11 @@
             "Connections opened to other daemons by distance",
             self.ledger.connections.clone(),
         );
+        registry.register(
+            "connections_closed",
+            "Callers' connections that the daemon closed by reason",
+            self.closed.clone(),
+        );
         registry.register(
             "connections",
             "Callers' connections",
@@ -215,6 +230,13 @@
         }
     }
 
+    /// Counts connections of callers that are closed for a reason.
+    pub fn count_closed(&self, reason: &'static str, count: u64) {
+        self.closed
+            .get_or_create(&CloseLabel { reason })
+            .inc_by(count);
+    }
+
     /// Counts a request by its outcome.
     pub fn count_outcome(&self, outcome: &'static str, reason: &str) {
         let label = OutcomeLabel {
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -204,6 +204,8 @@
     pub head_bytes: usize,
     /// Maximum time until the head of a request is complete, in milliseconds.
     pub head_timeout_ms: u64,
+    /// Maximum time that a connection of a caller may be idle, in milliseconds.
+    pub idle_timeout_ms: u64,
     /// Time without any data after which a body counts as broken, in
     /// milliseconds.
     pub stall_timeout_ms: u64,
@@ -219,6 +221,7 @@
             connections: 20_000,
             head_bytes: 16 * 1024,
             head_timeout_ms: 10_000,
+            idle_timeout_ms: 10_000,
             stall_timeout_ms: 30_000,
             grace_s: 600,
         }
@@ -231,6 +234,11 @@
         Duration::from_millis(self.head_timeout_ms)
     }
 
+    /// Returns the maximum time that a connection of a caller may be idle.
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms)
+    }
+
     /// Returns the time without any data after which a body counts as broken.
     pub fn stall_timeout(&self) -> Duration {
         Duration::from_millis(self.stall_timeout_ms)
@@ -351,6 +359,11 @@
                 "budgets.head_timeout_ms",
                 "must be 10 to 600000 milliseconds",
             ),
+            (
+                (10..=600_000).contains(&budgets.idle_timeout_ms),
+                "budgets.idle_timeout_ms",
+                "must be 10 to 600000 milliseconds",
+            ),
             (
                 (100..=3_600_000).contains(&budgets.stall_timeout_ms),
                 "budgets.stall_timeout_ms",
--- a/crates/serve/src/view.rs
+++ b/crates/serve/src/view.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use config::{ConfigTable, VmList, VmState};
+use config::{ClientLimits, ConfigTable, VmList, VmState};
 use ids::{FastSet, VmId, ZoneId};
 use route::Distance;
 use tokio::{sync::watch, time::Instant};
@@ -54,6 +54,11 @@
         self.table.load_full()
     }
 
+    /// Returns the limits of callers' connections of the configuration in force.
+    pub fn limits(&self) -> ClientLimits {
+        self.table.load().limits().copied().unwrap_or_default()
+    }
+
     /// Returns the VM list in force.
     pub fn vms(&self) -> Arc<VmList> {
         self.vms.load_full()
