A server that can't be connected to counts as cold when it is back

A backend server that started again under its name got its full load until the heartbeat of its new process had reached the daemon beside it: watch, table and spreading take up to a second or more.

The egress now takes a connection that can't be opened as a sign of a start. The time after a start counts anew with each such connection, so it runs from the last one.

Ruled out: lost connections as the sign, since a connection is also lost without a restart, and a restart is usually seen by a refused one.

--- a/crates/admit/src/cold.rs
+++ b/crates/admit/src/cold.rs
@@ -66,6 +66,9 @@
     /// The server is listed for the first time, again, or at a new address. It counts
     /// as cold for the time after a start, because its notice may be late or missing.
     Listed,
+    /// No connection to the server could be opened. It may be starting again under its
+    /// name, and its notice comes later than its first connection.
+    Unreachable,
     /// The configuration in force says whether the server is cold.
     Noticed(bool),
     /// The configuration in force is still recent.
@@ -138,6 +141,7 @@
                 self.hold(now + self.limit.after_start.max(UNKNOWN_TIME));
                 self.ramp_start = now;
             }
+            ColdEvent::Unreachable => self.hold(now + self.limit.after_start),
             ColdEvent::Noticed(true) if !self.listed_cold => {
                 self.listed_cold = true;
                 self.noticed_until = self.noticed_until.max(now + notice_time);
--- a/crates/admit/tests/cold_rate.rs
+++ b/crates/admit/tests/cold_rate.rs
@@ -118,6 +118,7 @@
 }
 
 #[test_case(ColdEvent::Listed, 3_000; "listed without a notice")]
+#[test_case(ColdEvent::Unreachable, 3_000; "no connection")]
 #[test_case(ColdEvent::Started, 1_000; "daemon started")]
 #[test_case(ColdEvent::Resumed, 1_000; "daemon was suspended")]
 #[test_case(ColdEvent::Noticed(true), 3_000; "notice is never confirmed")]
@@ -247,6 +248,7 @@
     let event = prop_oneof![
         Just(ColdEvent::Started),
         Just(ColdEvent::Listed),
+        Just(ColdEvent::Unreachable),
         Just(ColdEvent::Noticed(true)),
         Just(ColdEvent::Confirmed),
         Just(ColdEvent::Resumed),
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use admit::QueueEvent;
+use admit::{ColdEvent, QueueEvent};
 use health::{Outcome, STUCK_FACTOR};
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Body, header::HeaderValue};
@@ -68,6 +68,7 @@
             }
             Some(Err(SendError::Full)) => self.not_run(NotRun::Overloaded),
             Some(Err(SendError::Unsent(_))) => {
+                self.handle_cold(ColdEvent::Unreachable);
                 self.record_outcome(Outcome::Lost);
                 self.record_failure(overdue);
                 self.not_run(NotRun::Unreachable)
--- a/crates/serve/src/egress/probed.rs
+++ b/crates/serve/src/egress/probed.rs
@@ -33,6 +33,7 @@
     /// Records that nothing listens at the server's address, which counts as a
     /// failure.
     pub fn record_refused(&self) {
+        self.server.handle_cold(ColdEvent::Unreachable);
         self.server.evidence.set_unhealthy(true);
         self.server.record_failure(false);
     }
--- a/tests/warm_servers.rs
+++ b/tests/cold_spells.rs
@@ -1,11 +1,11 @@
-//! When a backend server stops counting as cold, or never counted so.
+//! Begin and end of the time for which a backend server counts as cold.
 
 mod harness;
 
 use std::time::{Duration, Instant};
 
 use config::{ColdTerms, Record};
-use fakes::PlatformFault;
+use fakes::{BackendStub, PlatformFault};
 use futures::future::join_all;
 use harness::{Answer, Fleet, FleetShape};
 use hyper::StatusCode;
@@ -15,6 +15,9 @@
 /// longer counts as recent, 3 s for which its last notice holds, and slack.
 const END_LIMIT: Duration = Duration::from_secs(15);
 
+/// Most requests that a cold server may get in a second at 2/s.
+const ALLOWED: u64 = 11;
+
 /// Starts a fleet of one daemon and one backend server, whose service has cold terms.
 async fn start_fleet(cold: bool) -> Fleet {
     let shape = FleetShape {
@@ -85,3 +88,25 @@
     assert_eq!(answer.status, StatusCode::OK);
     fleet.stop().await;
 }
+
+// Guards against a server that starts again under its name and gets its full load,
+// because the platform says only later that it is cold.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_is_noticed() {
+    let mut fleet = start_fleet(false).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    fleet.wait_for_tokens().await;
+    let address = fleet.backends[0].address();
+    fleet.backends.remove(0).stop().await;
+    let answer = fleet.get(0, "/plans/x").await;
+    assert_eq!(answer.outcome(), "not-run", "{answer:?}");
+    let server = BackendStub::start(address, "break plan").await.unwrap();
+    fleet.backends.push(server);
+    let end = Instant::now() + Duration::from_millis(900);
+    while Instant::now() < end {
+        send_burst(&fleet).await;
+    }
+    let sent = fleet.backends[0].count();
+    assert!(sent <= ALLOWED, "{sent} in a second");
+    fleet.stop().await;
+}
