Requests sent ahead on a connection run at once, and are answered in order

serve::caller follows the boundaries of requests on callers' connections. hyper gets one request at a time; those behind it are held back, and the ones that are read-only, without a body and on a route whose requests may run more than once are started at once, up to budgets.requests_ahead. When hyper comes to one, it gets the answer of its run, so the wire looks as before. Answers before their turn are buffered up to budgets.ahead_bytes. In a planned stop, what was forwarded is answered and only the last answer closes the connection. A connection that closes with requests unread is read for up to 1 s more, or the client's system would discard the last answers.

On ordinary connections the bytes still go straight to hyper's buffer, without a task; what is added is a search for the end of each head and an uncontended lock.

With budgets.requests_ahead at 0, which serves as before, 14 of the 16 tests of pipelining fail; disconnect_cancels and unsafe_first guard the change. The test of AheadPlan (3,000 random connections cut at random) failed for each of five faults put into the plan. 20 of 20 runs of pipelining passed.

--- a/crates/serve/src/caller/connection.rs
+++ b/crates/serve/src/caller/connection.rs
@@ -13,15 +13,19 @@
 
 use bytes::Bytes;
 use hyper::{
-    Request,
+    Request, Response,
     body::{Body, Frame, Incoming, SizeHint},
+    header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpStream, sync::Notify};
 
-use super::{LimitSource, crowd::CallerCrowd, state::CallerState, stream::CallerStream};
+use super::{
+    LimitSource, ahead::SentAhead, crowd::CallerCrowd, runs::AheadRun, state::CallerState,
+    stream::CallerStream,
+};
 use crate::{
     body::{BodyError, ProxyBody, box_body},
     ingress::Ingress,
@@ -76,76 +80,163 @@
 }
 
 impl CallerFront {
+    /// Creates a front without connections.
+    pub fn new(ingress: Arc<Ingress>, limits: LimitSource) -> Self {
+        let metrics = Arc::clone(&ingress.metrics);
+        let crowd = CallerCrowd::new(limits.clone(), ingress.clock, metrics);
+        Self {
+            ingress,
+            limits,
+            crowd: Arc::new(crowd),
+        }
+    }
+
     /// Serves a connection until it ends. After `stop` is signaled, it answers only
-    /// the request that it has already received, or its first one if that comes
-    /// soon.
+    /// the requests that it has already received or forwarded, or its first one if
+    /// that comes soon.
     pub async fn serve(self: Arc<Self>, stream: TcpStream, mut stop: StopSignal) {
         let member = self.crowd.join();
         let state = &member.state;
         let head_bytes = self.limits.get().head_bytes;
+        let buffer_bytes = head_bytes.max(MIN_BUFFER_BYTES);
+        let ahead = &SentAhead::new(&self.ingress.settings.load().budgets, buffer_bytes);
         let first_request = Notify::new();
         let requested = AtomicBool::new(false);
         let service = service_fn(|request: Request<Incoming>| {
             state.begin_request();
             requested.store(true, Ordering::Relaxed);
             first_request.notify_one();
-            let answer = self.serve_request(request, state);
+            let length = request.body().size_hint().exact();
+            // Before the library reads on, which it may do before it polls the answer.
+            let run = ahead.begin(&request, length);
+            let answer = self.serve_request(request, run, state, ahead);
             async move { Ok::<_, Infallible>(answer.await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             // The crowd watches over the time of a head and of an idle connection.
             .header_read_timeout(None)
-            .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
+            .max_buf_size(buffer_bytes)
             .max_header_size(head_bytes)
             .max_headers(MAX_HEAD_FIELDS)
-            .serve_connection(TokioIo::new(CallerStream::new(stream, state)), service);
+            .serve_connection(
+                TokioIo::new(CallerStream::new(stream, state, ahead)),
+                service,
+            );
         tokio::pin!(connection);
+        let driver = ConnectionDriver {
+            ingress: &self.ingress,
+            state,
+            ahead,
+        };
         tokio::select! {
-            () = until_unused(connection.as_mut(), state) => return,
+            () = driver.until_unused(connection.as_mut()) => return,
             () = stop.stopped() => {}
         }
         if !requested.load(Ordering::Relaxed) {
             tokio::select! {
-                () = until_unused(connection.as_mut(), state) => return,
+                () = driver.until_unused(connection.as_mut()) => return,
                 () = first_request.notified() => {}
                 () = tokio::time::sleep(FIRST_REQUEST_TIME) => {}
             }
         }
-        connection.as_mut().graceful_shutdown();
-        until_unused(connection, state).await;
+        // The library closes the connection behind the answer that it is about to
+        // give, so it first has to take over the last request that runs.
+        if driver.until_last(connection.as_mut()).await {
+            connection.as_mut().graceful_shutdown();
+            driver.until_unused(connection).await;
+        }
     }
 
-    /// Answers a request.
+    /// Answers a request, unless it runs already.
     async fn serve_request(
         &self,
         request: Request<Incoming>,
+        run: Option<AheadRun>,
         state: &Arc<CallerState>,
-    ) -> hyper::Response<TrackedBody> {
+        ahead: &SentAhead,
+    ) -> Response<TrackedBody> {
         let state = Arc::clone(state);
-        let response = self.ingress.serve(request.map(box_body)).await;
+        let mut response = match run {
+            Some(run) => run.await,
+            None => self.ingress.serve(request.map(box_body)).await,
+        };
+        let headers = response.headers_mut();
+        match ahead.has_runs() {
+            // Requests behind this one were forwarded, so they are answered, too.
+            true => {
+                headers.remove(CONNECTION);
+            }
+            false if self.ingress.view.is_leaving() => {
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            false => {}
+        }
         response.map(|body| TrackedBody { body, state })
     }
 }
 
-/// Waits until a connection has ended, or is to be closed because it is not used.
-async fn until_unused<C: Future>(mut connection: Pin<&mut C>, state: &CallerState) {
-    loop {
-        let closing = poll_fn(|context| match connection.as_mut().poll(context) {
-            Poll::Ready(_) => Poll::Ready(false),
-            Poll::Pending if state.is_closing(context) => Poll::Ready(true),
+/// Drives one connection, together with the requests that run ahead on it.
+struct ConnectionDriver<'a> {
+    ingress: &'a Arc<Ingress>,
+    state: &'a CallerState,
+    ahead: &'a SentAhead,
+}
+
+impl ConnectionDriver<'_> {
+    /// Waits until a connection has ended, or is to be closed because it is not
+    /// used.
+    async fn until_unused<C: Future>(&self, mut connection: Pin<&mut C>) {
+        loop {
+            let closing = poll_fn(|context| match self.poll(connection.as_mut(), context) {
+                Poll::Ready(()) => Poll::Ready(false),
+                Poll::Pending if self.state.is_closing(context) => Poll::Ready(true),
+                Poll::Pending => Poll::Pending,
+            });
+            if !closing.await {
+                return;
+            }
+            let before = (self.state.idle_since(), self.state.head_since());
+            // A request may have arrived that the runtime has not seen yet, above
+            // all after the machine stood still. Closing its connection would lose
+            // it.
+            tokio::task::yield_now().await;
+            let ended =
+                poll_fn(|context| Poll::Ready(self.poll(connection.as_mut(), context).is_ready()));
+            if ended.await || before == (self.state.idle_since(), self.state.head_since()) {
+                return;
+            }
+        }
+    }
+
+    /// Waits until no request runs that the library has not taken over. Returns
+    /// false if the connection has ended before.
+    async fn until_last<C: Future>(&self, mut connection: Pin<&mut C>) -> bool {
+        let last = poll_fn(|context| match self.poll(connection.as_mut(), context) {
+            Poll::Ready(()) => Poll::Ready(false),
+            Poll::Pending if !self.ahead.has_runs() => Poll::Ready(true),
             Poll::Pending => Poll::Pending,
         });
-        if !closing.await {
-            return;
-        }
-        let before = (state.idle_since(), state.head_since());
-        // A request may have arrived that the runtime has not seen yet, above all
-        // after the machine stood still. Closing its connection would lose it.
-        tokio::task::yield_now().await;
-        let ended = poll_fn(|context| Poll::Ready(connection.as_mut().poll(context).is_ready()));
-        if ended.await || before == (state.idle_since(), state.head_since()) {
-            return;
+        last.await
+    }
+
+    /// Polls the connection, and the requests that run ahead.
+    fn poll<C: Future>(&self, mut connection: Pin<&mut C>, context: &mut Context<'_>) -> Poll<()> {
+        let mut fed = None;
+        loop {
+            if connection.as_mut().poll(context).is_ready() {
+                return Poll::Ready(());
+            }
+            if !self.ahead.is_active() {
+                return Poll::Pending;
+            }
+            // The library waits for bytes of the stream, although held ones can be
+            // passed on since the last answer has ended. It is polled again for as
+            // long as it takes some.
+            match self.ahead.advance(self.state, self.ingress, context) {
+                Some(count) if fed != Some(count) => fed = Some(count),
+                _ => return Poll::Pending,
+            }
         }
     }
 }
--- a/crates/serve/src/caller/mod.rs
+++ b/crates/serve/src/caller/mod.rs
@@ -1,8 +1,11 @@
 //! Connections of callers: their limits, when they count as idle, and what is
 //! served on them.
 
+mod ahead;
 mod connection;
 mod crowd;
+mod plan;
+mod runs;
 mod size;
 mod state;
 mod stream;
@@ -11,13 +14,19 @@
 
 pub use connection::CallerFront;
 pub use crowd::CallerCrowd;
+pub use plan::{AheadHead, AheadLimits, AheadPlan, BegunRequest};
 pub use size::{OverrunFlag, SizedBody};
 
-use crate::{settings::LiveSettings, view::FleetView};
+use crate::{listener::ListenerLimits, settings::LiveSettings, view::FleetView};
 
 /// Bounds of the size of a head that a configuration may allow, in bytes. Requests
 /// of ordinary clients are not smaller, and a connection buffers a whole head.
 const HEAD_BYTES: (usize, usize) = (1_024, 1_048_576);
+/// Additional size of the head of an attempt, which holds metadata beside the head
+/// of the caller's request, in bytes.
+const METADATA_BYTES: usize = 8_192;
+/// Number of additional header fields of an attempt.
+const METADATA_FIELDS: usize = 64;
 /// Shortest timeout that a configuration may set. A shorter one would close
 /// connections to clients on ordinary networks.
 const MIN_TIMEOUT: Duration = Duration::from_millis(100);
@@ -72,4 +81,14 @@
     pub fn get(&self) -> CallerLimits {
         CallerLimits::in_force(&self.view, &self.settings)
     }
+
+    /// Returns the limits of a connection from a peer, which forwards whatever
+    /// callers may send.
+    pub fn for_peers(&self, limits: ListenerLimits) -> ListenerLimits {
+        ListenerLimits {
+            head_bytes: self.get().head_bytes.max(limits.head_bytes) + METADATA_BYTES,
+            head_fields: limits.head_fields + METADATA_FIELDS,
+            ..limits
+        }
+    }
 }
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -1,26 +1,50 @@
-//! Stream of a caller's connection, which records when bytes pass.
+//! Stream of a caller's connection, which records when bytes pass and holds back
+//! those behind the request that is being served.
 
 use std::{
+    future::Future,
     io,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use super::state::CallerState;
+use super::{ahead::SentAhead, state::CallerState};
+
+/// Time for which a connection is still read after it was closed for writing, if
+/// there are unread requests. If it was closed at once, the client's system would
+/// discard the last answers when its further requests are rejected.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of bytes that are read in that time.
+const LINGER_BYTES: usize = 1 << 20;
 
 /// Stream of a caller's connection.
-#[derive(Debug)]
 pub struct CallerStream<'a, S> {
     stream: S,
     state: &'a CallerState,
+    ahead: &'a SentAhead,
+    linger: Option<Linger>,
+}
+
+/// Reading after the connection was closed for writing.
+#[derive(Debug)]
+struct Linger {
+    timer: Pin<Box<tokio::time::Sleep>>,
+    bytes_left: usize,
 }
 
 impl<'a, S> CallerStream<'a, S> {
-    /// Records in `state` when bytes pass through `stream`.
-    pub fn new(stream: S, state: &'a CallerState) -> Self {
-        Self { stream, state }
+    /// Records in `state` when bytes pass through `stream`, and holds back those
+    /// that `ahead` does not pass on.
+    pub fn new(stream: S, state: &'a CallerState, ahead: &'a SentAhead) -> Self {
+        Self {
+            stream,
+            state,
+            ahead,
+            linger: None,
+        }
     }
 
     /// Records the result of a write.
@@ -31,6 +55,28 @@
     }
 }
 
+impl<S: AsyncRead + Unpin> CallerStream<'_, S> {
+    /// Reads and discards what the client still sends, up to its end.
+    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Some(linger) = &mut self.linger else {
+            return Poll::Ready(());
+        };
+        let mut bytes = [0; 4_096];
+        while linger.bytes_left > 0 {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut self.stream).poll_read(context, &mut buffer) {
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
+                    let read = buffer.filled().len();
+                    linger.bytes_left = linger.bytes_left.saturating_sub(read);
+                }
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => return linger.timer.as_mut().poll(context),
+            }
+        }
+        Poll::Ready(())
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for CallerStream<'_, S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -38,15 +84,36 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.state.record_read();
+        loop {
+            let busy = self.state.is_busy();
+            let room = buffer.remaining();
+            if self.ahead.is_active()
+                && self.ahead.feed(busy, room, |bytes| buffer.put_slice(bytes))
+            {
+                self.state.record_read();
+                return Poll::Ready(Ok(()));
+            }
+            if !self.ahead.may_read() {
+                // What is held is passed on when the answer has ended, and then the
+                // library reads on.
+                return Poll::Pending;
+            }
+            ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+            let chunk = &buffer.filled()[before..];
+            if chunk.is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            let passed = self.ahead.arrive(busy, chunk);
+            buffer.set_filled(before + passed);
+            if passed > 0 {
+                self.state.record_read();
+                return Poll::Ready(Ok(()));
+            }
         }
-        polled
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for CallerStream<'_, S> {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for CallerStream<'_, S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -76,6 +143,17 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+        match self.linger {
+            None if !self.ahead.is_holding() => return Poll::Ready(Ok(())),
+            None => {
+                self.linger = Some(Linger {
+                    timer: Box::pin(tokio::time::sleep(LINGER_TIME)),
+                    bytes_left: LINGER_BYTES,
+                });
+            }
+            Some(_) => {}
+        }
+        self.poll_linger(context).map(Ok)
     }
 }
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     admin::AdminHandler,
-    caller::{CallerCrowd, CallerFront, LimitSource},
+    caller::{CallerFront, LimitSource},
     clock::MonoClock,
     control::{
         ControlLoop, ControlParts, PeerSender, PeerSocket, PlatformWatcher, bind_datagrams,
@@ -28,7 +28,7 @@
     gate::RateLimiter,
     hop::HopTransport,
     ingress::Ingress,
-    listener::{HttpListener, ListenerLimits, MAX_HEAD_FIELDS, serve_connection},
+    listener::{HttpListener, ListenerLimits, MAX_HEAD_FIELDS},
     metrics::MetricSet,
     peer::PeerHandler,
     pool::PoolTable,
@@ -46,11 +46,6 @@
 const MAX_ADMIN_CONNECTIONS: usize = 64;
 /// Time that a connection from a peer may be idle between requests.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
-/// Additional size of the head of an attempt, which holds metadata beside the head
-/// of the caller's request, in bytes.
-const METADATA_BYTES: usize = 8_192;
-/// Number of additional header fields of an attempt.
-const METADATA_FIELDS: usize = 64;
 /// Interval between checks of whether the egress has finished its requests.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of further ports that are tried if the system chooses the peer port.
@@ -184,7 +179,7 @@
         let peer_limits = ListenerLimits {
             connections: MAX_PEER_CONNECTIONS,
             head_bytes: budgets.head_bytes,
-            head_fields: MAX_HEAD_FIELDS + METADATA_FIELDS,
+            head_fields: MAX_HEAD_FIELDS,
             head_timeout: PEER_IDLE_TIMEOUT,
             // The ingress adds the date if the backend server gave none.
             adds_date: false,
@@ -291,18 +286,9 @@
             clock,
             control: control.clone(),
         });
-        let crowd = Arc::new(CallerCrowd::new(
-            limits.clone(),
-            clock,
-            Arc::clone(&metrics),
-        ));
-        let front = Arc::new(CallerFront {
-            ingress,
-            limits: limits.clone(),
-            crowd: Arc::clone(&crowd),
-        });
+        let front = Arc::new(CallerFront::new(ingress, limits.clone()));
         let mut callers = self.ingress;
-        callers.watch(crowd);
+        callers.watch(Arc::clone(&front.crowd));
         let is_reader = Arc::new(AtomicBool::new(true));
         let watcher = PlatformWatcher {
             view: Arc::clone(&view),
@@ -333,21 +319,11 @@
             Arc::clone(&accepted[0]),
         ));
         let peer_limits = self.peer.limits();
-        let serve_peer = move |stream, stop| {
-            let allowed = limits.get().head_bytes.max(peer_limits.head_bytes);
-            let limits = ListenerLimits {
-                head_bytes: allowed + METADATA_BYTES,
-                ..peer_limits
-            };
-            let handler = Arc::clone(&handler);
-            let serve = move |request| {
-                let handler = Arc::clone(&handler);
-                async move { handler.serve(request).await }
-            };
-            serve_connection(stream, serve, limits, stop)
-        };
         groups[1].spawn(self.peer.run_with(
-            serve_peer,
+            move |stream, stop| {
+                let limits = limits.for_peers(peer_limits);
+                Arc::clone(&handler).serve_connection(stream, limits, stop)
+            },
             stops[1].signal(),
             Arc::clone(&accepted[1]),
         ));
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -14,10 +14,10 @@
 use bytes::Bytes;
 use config::{Access, Account, KeyDigest, KeyHasher, Route, TrafficClass};
 use hyper::{
-    Request, Response,
+    Method, Request, Response, Uri,
     body::Body,
     header::{CONNECTION, HOST, HeaderValue},
-    http::request::Parts,
+    http::{request::Parts, uri::Authority},
 };
 use ids::{Rank, ServiceId, WorkPriority};
 
@@ -298,6 +298,20 @@
         })
     }
 
+    /// Whether requests of a route may run more than once, which a request needs to
+    /// run before those that were sent before it are answered. `host` is its only
+    /// `Host` field.
+    pub fn may_run_ahead(&self, method: &Method, uri: &Uri, host: Option<&HeaderValue>) -> bool {
+        let host = match (uri.authority(), host) {
+            (Some(authority), _) => host_of(authority.as_str()),
+            (None, Some(host)) => host.to_str().ok().and_then(host_of),
+            (None, None) => None,
+        };
+        let table = self.view.table();
+        let route = host.and_then(|host| table.route(&host, uri.path()));
+        route.is_some_and(|route| route::is_idempotent(method.as_str(), route.idempotent))
+    }
+
     /// Returns the rank of a request among those that wait for a slot.
     ///
     /// Requests on open routes on a VM with a backend server are calls made by
@@ -392,6 +406,11 @@
             }
         }
     };
-    let authority: hyper::http::uri::Authority = authority.parse().ok()?;
+    host_of(authority)
+}
+
+/// Returns the host of an authority in lower case and without a port.
+fn host_of(authority: &str) -> Option<String> {
+    let authority: Authority = authority.parse().ok()?;
     Some(authority.host().to_ascii_lowercase())
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -39,6 +39,7 @@
 mod wire;
 
 pub use answer::Refusal;
+pub use caller::{AheadHead, AheadLimits, AheadPlan, BegunRequest};
 pub use daemon::{Daemon, DaemonAddresses, DaemonBuilder, DaemonError};
 pub use edge::{
     AnswerKind, CallerMetadata, DefaultCodec, DispatchMetadata, EdgeCodec, shed_backoff,
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -77,6 +77,11 @@
     pub ledger: ByteLedger,
     /// Number of callers' connections that the daemon closed, by reason.
     pub closed: Family<CloseLabel, Counter>,
+    /// Number of requests that ran before those sent before them were answered.
+    pub ahead_requests: Counter,
+    /// Number of times that the answers to such requests filled the buffer of a
+    /// connection.
+    pub ahead_full: Counter,
     /// Number of open connections of callers.
     pub connections: Gauge,
     /// Number of backend servers of this VM that have named a limit.
@@ -108,6 +113,8 @@
             peer_messages: Family::default(),
             ledger: ByteLedger::default(),
             closed: Family::default(),
+            ahead_requests: Counter::default(),
+            ahead_full: Counter::default(),
             connections: Gauge::default(),
             limited_servers: Gauge::default(),
             waiting: Gauge::default(),
@@ -202,6 +209,16 @@
             "Connections opened to other daemons by distance",
             self.ledger.connections.clone(),
         );
+        registry.register(
+            "requests_ahead",
+            "Requests that ran before those sent before them were answered",
+            self.ahead_requests.clone(),
+        );
+        registry.register(
+            "ahead_buffers_full",
+            "Times that answers to such requests filled the buffer of a connection",
+            self.ahead_full.clone(),
+        );
         registry.register(
             "connections_closed",
             "Callers' connections that the daemon closed by reason",
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -10,13 +10,16 @@
 
 use ids::VmId;
 use route::Distance;
+use tokio::net::TcpStream;
 
 use crate::{
     body::{ProxyBody, box_body, empty_body},
     control::{ControlSender, PullRequest, reply_to_pull},
     egress::EgressHub,
     ledger::{SentKind, StreamMeter},
+    listener::{ListenerLimits, serve_connection},
     metrics::MetricSet,
+    task::StopSignal,
     view::FleetView,
     wire::{self, Attempt, EgressOutcome, HeaderSeal},
 };
@@ -37,6 +40,20 @@
 }
 
 impl PeerHandler {
+    /// Serves a connection until it ends, or until `stop` has it shut down.
+    pub async fn serve_connection(
+        self: Arc<Self>,
+        stream: TcpStream,
+        limits: ListenerLimits,
+        stop: StopSignal,
+    ) {
+        let handler = |request| {
+            let handler = Arc::clone(&self);
+            async move { handler.serve(request).await }
+        };
+        serve_connection(stream, handler, limits, stop).await;
+    }
+
     /// Answers a request of a peer. A request that does not prove knowledge of
     /// the fleet secret gets status 403 and is not processed any further.
     pub async fn serve(&self, mut request: Request<Incoming>) -> Response<ProxyBody> {
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -206,6 +206,12 @@
     pub head_timeout_ms: u64,
     /// Maximum time that a connection of a caller may be idle, in milliseconds.
     pub idle_timeout_ms: u64,
+    /// Maximum number of requests on a connection of a caller that run before those
+    /// sent before them are answered; 0 for none.
+    pub requests_ahead: usize,
+    /// Number of bytes of their answers from which on no more are buffered for a
+    /// connection.
+    pub ahead_bytes: usize,
     /// Time without any data after which a body counts as broken, in
     /// milliseconds.
     pub stall_timeout_ms: u64,
@@ -222,6 +228,8 @@
             head_bytes: 16 * 1024,
             head_timeout_ms: 10_000,
             idle_timeout_ms: 10_000,
+            requests_ahead: 16,
+            ahead_bytes: 256 * 1024,
             stall_timeout_ms: 30_000,
             grace_s: 600,
         }
@@ -364,6 +372,16 @@
                 "budgets.idle_timeout_ms",
                 "must be 10 to 600000 milliseconds",
             ),
+            (
+                budgets.requests_ahead <= 1_000,
+                "budgets.requests_ahead",
+                "must be 0 to 1000 requests; 0 serves them one after the other",
+            ),
+            (
+                (1_024..=1 << 30).contains(&budgets.ahead_bytes),
+                "budgets.ahead_bytes",
+                "must be 1024 to 1073741824 bytes",
+            ),
             (
                 (100..=3_600_000).contains(&budgets.stall_timeout_ms),
                 "budgets.stall_timeout_ms",
