--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     admin::AdminHandler,
-    caller::{CallerCrowd, CallerFront, LimitSource},
+    caller::{CallerFront, LimitSource},
     clock::MonoClock,
     control::{
         ControlLoop, ControlParts, PeerSender, PeerSocket, PlatformWatcher, bind_datagrams,
@@ -29,7 +29,7 @@
     hop::HopTransport,
     ingress::Ingress,
     link::KEEPALIVE_INTERVAL,
-    listener::{HttpListener, ListenerLimits, MAX_HEAD_FIELDS, serve_connection},
+    listener::{HttpListener, ListenerLimits, MAX_HEAD_FIELDS},
     metrics::MetricSet,
     peer::PeerHandler,
     pool::{HomeShortages, PoolTable},
@@ -51,11 +51,6 @@
 /// interval between probes. It is longer than that of peers, since callers may
 /// leave thousands of connections idle.
 const CALLER_KEEPALIVE: Duration = Duration::from_secs(5);
-/// Additional size of the head of an attempt, which holds metadata beside the head
-/// of the caller's request, in bytes.
-const METADATA_BYTES: usize = 8_192;
-/// Number of additional header fields of an attempt.
-const METADATA_FIELDS: usize = 64;
 /// Interval between checks of whether the egress has finished its requests.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of further ports that are tried if the system chooses the peer port.
@@ -191,7 +186,7 @@
         let peer_limits = ListenerLimits {
             connections: MAX_PEER_CONNECTIONS,
             head_bytes: budgets.head_bytes,
-            head_fields: MAX_HEAD_FIELDS + METADATA_FIELDS,
+            head_fields: MAX_HEAD_FIELDS,
             head_timeout: PEER_IDLE_TIMEOUT,
             keepalive: KEEPALIVE_INTERVAL,
             write_timeout: budgets.stall_timeout(),
@@ -302,18 +297,9 @@
             clock,
             control: control.clone(),
         });
-        let crowd = Arc::new(CallerCrowd::new(
-            limits.clone(),
-            clock,
-            Arc::clone(&metrics),
-        ));
-        let front = Arc::new(CallerFront {
-            ingress,
-            limits: limits.clone(),
-            crowd: Arc::clone(&crowd),
-        });
+        let front = Arc::new(CallerFront::new(ingress, limits.clone()));
         let mut callers = self.ingress;
-        callers.watch(crowd);
+        callers.watch(Arc::clone(&front.crowd));
         let is_reader = Arc::new(AtomicBool::new(true));
         let watcher = PlatformWatcher {
             view: Arc::clone(&view),
@@ -344,21 +330,11 @@
             Arc::clone(&accepted[0]),
         ));
         let peer_limits = self.peer.limits();
-        let serve_peer = move |stream, stop| {
-            let allowed = limits.get().head_bytes.max(peer_limits.head_bytes);
-            let limits = ListenerLimits {
-                head_bytes: allowed + METADATA_BYTES,
-                ..peer_limits
-            };
-            let handler = Arc::clone(&handler);
-            let serve = move |request| {
-                let handler = Arc::clone(&handler);
-                async move { handler.serve(request).await }
-            };
-            serve_connection(stream, serve, limits, stop)
-        };
         groups[1].spawn(self.peer.run_with(
-            serve_peer,
+            move |stream, stop| {
+                let limits = limits.for_peers(peer_limits);
+                Arc::clone(&handler).serve_connection(stream, limits, stop)
+            },
             stops[1].signal(),
             Arc::clone(&accepted[1]),
         ));
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -41,6 +41,7 @@
 mod write_limit;
 
 pub use answer::Refusal;
+pub use caller::{AheadHead, AheadLimits, AheadPlan, BegunRequest};
 pub use daemon::{Daemon, DaemonAddresses, DaemonBuilder, DaemonError};
 pub use edge::{
     AnswerKind, CallerMetadata, DefaultCodec, DispatchMetadata, EdgeCodec, shed_backoff,
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -82,6 +82,11 @@
     pub ledger: ByteLedger,
     /// Number of callers' connections that the daemon closed, by reason.
     pub closed: Family<CloseLabel, Counter>,
+    /// Number of requests that ran before those sent before them were answered.
+    pub ahead_requests: Counter,
+    /// Number of times that the answers to such requests filled the buffer of a
+    /// connection.
+    pub ahead_full: Counter,
     /// Number of open connections of callers.
     pub connections: Gauge,
     /// Number of backend servers of this VM that have named a limit.
@@ -128,6 +133,8 @@
             peer_messages: Family::default(),
             ledger: ByteLedger::default(),
             closed: Family::default(),
+            ahead_requests: Counter::default(),
+            ahead_full: Counter::default(),
             connections: Gauge::default(),
             limited_servers: Gauge::default(),
             evacuated_zones: Gauge::default(),
@@ -237,6 +244,16 @@
             "Connections opened to other daemons by distance",
             self.ledger.connections.clone(),
         );
+        registry.register(
+            "requests_ahead",
+            "Requests that ran before those sent before them were answered",
+            self.ahead_requests.clone(),
+        );
+        registry.register(
+            "ahead_buffers_full",
+            "Times that answers to such requests filled the buffer of a connection",
+            self.ahead_full.clone(),
+        );
         registry.register(
             "connections_closed",
             "Callers' connections that the daemon closed by reason",
