Store feed: a change that reverses the last one is applied

The watch after a change started from the table in force, but the control loop had not adopted the new one yet. The table that the reversal leads to equals that older one, so it was taken for no change, and not built again. The same happened at a daemon that had adopted a peer's table while its own watch waited. Ruled out: the retention of entries, which does not apply to keys of evacuations.

The watcher hands over the table that it read last if that is newer than the one in force. The control loop leaves out deltas that start from another table than the one in force: they don't say what changes, so that queues at the egress could have stayed drained. That part has no test of its own.

--- a/crates/serve/src/control/adopt.rs
+++ b/crates/serve/src/control/adopt.rs
@@ -129,7 +129,8 @@
     /// on it.
     ///
     /// `deltas` lead from the configuration in force to `table`; they are empty
-    /// if the table was read as a whole.
+    /// if the table was read as a whole. Deltas from another configuration, which was
+    /// in force when the table was read, don't say what changes, and are left out.
     pub(super) fn adopt_config(
         &mut self,
         table: Arc<ConfigTable>,
@@ -137,9 +138,14 @@
         source: ConfigSource,
     ) {
         let revision = table.revision();
+        let before = self.parts.view.table().revision();
         if !self.parts.view.adopt_table(table) {
             return;
         }
+        let deltas = match deltas.first() {
+            Some(first) if first.previous == before => deltas,
+            _ => Vec::new(),
+        };
         log::info!(
             source = source.name(),
             age_ms = self.gossip.age(self.now()).as_millis() as u64;
--- a/crates/serve/src/control/follow.rs
+++ b/crates/serve/src/control/follow.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use config::VmList;
+use config::{ConfigTable, VmList};
 use error_stack::Report;
 use reader::{ConfigFeed, PlatformError, ReadOutcome};
 
@@ -99,12 +99,16 @@
     /// Watches the configuration, without end.
     async fn config_loop(&self) {
         let mut backoff = RetryBackoff::new();
+        let mut last_read: Option<Arc<ConfigTable>> = None;
         loop {
             self.wait_until_reader().await;
             self.metrics.platform_calls.inc();
-            let table = self.view.table();
+            let table = self.newest(last_read.as_ref());
             match self.platform.watch_config(table, MAX_WATCH_WAIT).await {
                 Ok(outcome) => {
+                    if let ReadOutcome::Newer { table, .. } = &outcome {
+                        last_read = Some(Arc::clone(table));
+                    }
                     self.send_config(outcome).await;
                     backoff.reset();
                 }
@@ -116,6 +120,17 @@
         }
     }
 
+    /// Returns the table in force, or the last one that was read if that is newer: the
+    /// control loop may not have adopted it yet. Without this, a change that reverses
+    /// the last one was taken for no change.
+    fn newest(&self, last_read: Option<&Arc<ConfigTable>>) -> Arc<ConfigTable> {
+        let in_force = self.view.table();
+        match last_read {
+            Some(table) if table.revision() > in_force.revision() => Arc::clone(table),
+            _ => in_force,
+        }
+    }
+
     /// Passes the result of a configuration read to the control loop.
     async fn send_config(&self, outcome: ReadOutcome) {
         let event = match outcome {
