The test of a suspended daemon does not take missing tokens for a throttled server

It now repeats the burst until more requests of one are served than a cold server may get in a second, which shows the same.

--- a/tests/cold_suspension.rs
+++ b/tests/cold_suspension.rs
@@ -54,17 +54,17 @@
         let response = client.request(request.unwrap()).await;
         response.is_ok_and(|response| response.status().is_success())
     };
+    // The account may have few tokens right after the start, and the server counts as
+    // cold in the first second.
     let end = Instant::now() + Duration::from_secs(20);
-    while !join_all((0..60).map(|_| send())).await.contains(&true) {
-        assert!(Instant::now() < end, "the daemon serves nothing");
+    loop {
+        let served = join_all((0..60).map(|_| send())).await;
+        if served.iter().filter(|served| **served).count() as u64 > ALLOWED {
+            break;
+        }
+        assert!(Instant::now() < end, "a warm server is throttled");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let warm = join_all((0..60).map(|_| send())).await;
-    assert!(
-        warm.iter().all(|served| *served),
-        "a warm server is throttled"
-    );
     daemon.signal("STOP");
     let before = backend.count();
     let requests = async {
