Cold servers count for the floor, and short gaps between ticks are no suspension

After a refusal as cold, only warm servers were counted for the floor. With many cold servers the pool seemed to be below it, so ejected servers could return to rotation for that request. The cold ones are now taken out after the floor was kept.

A gap of 1 s between ticks of the control loop had all servers of the VM count as cold for a second. On a VM with a tenth of a core such gaps can come from load alone; the gap is now 2 s.

Found by reading. The tests of cold_servers and cold_suspension pass.

--- a/crates/serve/src/egress/cold.rs
+++ b/crates/serve/src/egress/cold.rs
@@ -24,8 +24,10 @@
 const COLD: u8 = 2;
 /// Time after the start of the daemon in which requests of an earlier process count.
 const START_TIME: Duration = Duration::from_secs(1);
-/// Time without a tick after which the process counts as suspended meanwhile.
-const MAX_TICK_GAP: Duration = Duration::from_secs(1);
+/// Time without a tick after which the process counts as suspended meanwhile, and its
+/// configuration as old. On a VM with a tenth of a core, ticks can be a second apart
+/// under load, and each such gap would throttle the servers.
+const MAX_TICK_GAP: Duration = Duration::from_secs(2);
 /// Factor by which the slow limit is longer for a cold server. Such a server takes
 /// about twice as long, and the factor leaves room for its slower answers.
 const SLOW_FACTOR: u32 = 3;
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -76,10 +76,14 @@
             floor: self.service.floor,
             reach,
             zone_penalty,
+            avoids_cold: false,
         };
         let warm = avoids_cold.then(|| {
-            let warm = healthy.iter().filter(|state| !state.is_cold());
-            choose_among(warm.copied().collect(), rules)
+            let rules = PoolRules {
+                avoids_cold,
+                ..rules
+            };
+            choose_among(healthy.clone(), rules)
         });
         match warm.flatten().or_else(|| choose_among(healthy, rules)) {
             Some(server) => {
@@ -137,6 +141,8 @@
     reach: SearchReach,
     /// Delay that a server in another zone must save to be preferred.
     zone_penalty: Duration,
+    /// Whether no cold server may be chosen.
+    avoids_cold: bool,
 }
 
 /// Chooses one of several servers by expected delay.
@@ -154,6 +160,13 @@
             .filter(outside)
             .for_each(|item| item.weight = 0.0);
     }
+    if rules.avoids_cold {
+        // They stay in the count for the floor, so that no ejected server returns to
+        // rotation because of them.
+        let cold = candidates.iter_mut().zip(&states);
+        cold.filter(|(_, state)| state.is_cold())
+            .for_each(|(item, _)| item.weight = 0.0);
+    }
     let index = choose_server(
         &candidates,
         [rand::random(), rand::random(), rand::random()],
