--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -108,18 +108,20 @@
             floor: self.service.floor,
             reach,
             zone_penalty,
+            avoids_cold: false,
         };
-        let is_warm = |state: &&&Arc<ServerState>| !state.is_cold();
-        let warm = match avoids_cold {
-            true => accepting.iter().filter(is_warm).copied().collect(),
-            false => Vec::new(),
+        let warm_rules = PoolRules {
+            avoids_cold: true,
+            ..rules
         };
-        let rejecting = match last_resort {
-            true => rejecting,
-            false => Vec::new(),
-        };
-        let groups = [warm, accepting, rejecting];
-        let mut choices = groups.into_iter().map(|group| choose_among(group, rules));
+        let mut choices = [
+            (avoids_cold, accepting.clone(), warm_rules),
+            (true, accepting, rules),
+            (last_resort, rejecting, rules),
+        ]
+        .into_iter()
+        .filter(|(wanted, ..)| *wanted)
+        .map(|(_, group, rules)| choose_among(group, rules));
         match choices.find_map(|choice| choice) {
             Some(server) => {
                 return Some(ServerChoice {
@@ -207,6 +209,8 @@
     reach: SearchReach,
     /// Delay that a server in another zone must save to be preferred.
     zone_penalty: Duration,
+    /// Whether no cold server may be chosen.
+    avoids_cold: bool,
 }
 
 /// Chooses one of several servers by expected delay.
@@ -227,6 +231,13 @@
             .filter(outside)
             .for_each(|item| item.weight = 0.0);
     }
+    if rules.avoids_cold {
+        // They stay in the count for the floor, so that no ejected server returns to
+        // rotation because of them.
+        let cold = candidates.iter_mut().zip(&states);
+        cold.filter(|(_, state)| state.is_cold())
+            .for_each(|(item, _)| item.weight = 0.0);
+    }
     let index = choose_server(
         &candidates,
         [rand::random(), rand::random(), rand::random()],
