Test: requests sent ahead take their tokens in the order of arrival

tokens_in_order: with the first request of a connection held, those behind it that are over the rate are refused at once, and each that got a token was sent before them.

--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -229,6 +229,46 @@
     fleet.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn tokens_in_order() {
+    // Guards against a request over the rate that is refused only when the requests
+    // before it are answered, and against one that takes the token of an earlier one.
+    let shape = FleetShape {
+        accounts: vec![("radio-one".to_owned(), 4, 6)],
+        ..FleetShape::single()
+    };
+    let fleet = Fleet::start(shape).await;
+    fleet.backends[0].hold();
+    fleet.backends[0].set_path_behaviour("/plans/held", Behaviour::Held);
+    let mut stream = connect(&fleet).await;
+    let held = async {
+        // The warm-up of the fleet may have taken all tokens.
+        while fleet.runs("held") == 0 {
+            stream.write_all(get("held").as_bytes()).await.unwrap();
+            sleep(Duration::from_millis(500)).await;
+        }
+    };
+    within("the held request runs", held).await;
+    // Tokens for some of the requests accrue.
+    sleep(Duration::from_millis(1_500)).await;
+    let refused = "dogwoodshore_requests_total{outcome=\"not-run\",reason=\"over the rate";
+    let before = metric(&fleet, refused).await;
+    let ids: Vec<String> = (0..30).map(|number| format!("token-{number}")).collect();
+    let text: String = ids.iter().map(|id| get(id)).collect();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    wait_metric(&fleet, refused, before + 4.0).await;
+    sleep(SETTLE_TIME).await;
+    let ran: Vec<u64> = ids.iter().map(|id| fleet.runs(id)).collect();
+    assert_eq!(fleet.backends[0].running(), 1, "the first one has ended");
+    let first_refused = ran.iter().position(|runs| *runs == 0).unwrap();
+    assert!(first_refused > 0, "no tokens accrued");
+    assert!(
+        ran[first_refused..].iter().all(|runs| *runs == 0),
+        "{ran:?}"
+    );
+    fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_are_bounded() {
     // Guards against answers behind a slow one that fill the memory.
