Where requests compete for slots, one function decides their order

Requests of all kinds of one rank and account were equal, whatever work they need and how near their target is, and a full queue refused the jobs of the account with the most, whatever their rank.

Cause: the order of the slot queue knew no work but the mean of all requests of its server, and the bound on waiting jobs had an order of its own.

Ruled out: shortest work first without a bound, least laxity by the time left, a published level at the ingress, refusals of ranks by recent load (docs/design/overload.md).

Change: `admit::displacement` maps internal work, least share, rank, outlook, work and time to spare to a place, which decides dispatches, forecasts, expiry and the refusals of a full queue. The egress learns the work of each kind of request; the offer says the kind (a hash of route and method) and whether it is the first of its request. Each rank and kind keeps a least share. An idle account starts at a virtual time that also advances where all accounts have single requests. Metric `owed_kinds` and a log line.

--- a/crates/admit/examples/classes.rs
+++ b/crates/admit/examples/classes.rs
@@ -9,7 +9,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, SlotQueue};
+use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, SlotQueue, WorkKind};
 use ids::{MonoTime, Rank, Slots, Weight, WorkPriority};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -124,6 +124,9 @@
             work_priority: WorkPriority(0),
             account: Some("radio-one".parse().expect("a valid account name")),
             internal: other.is_some_and(|other| other.internal),
+            kind: WorkKind::UNKNOWN,
+            first_offer: true,
+            idempotent: true,
             bulk: other.is_some_and(|other| other.bulk),
             weight: Weight(1),
             target: self.now + DEADLINE,
--- a/crates/admit/src/flow.rs
+++ b/crates/admit/src/flow.rs
@@ -27,11 +27,12 @@
 ///
 /// A dispatch charges the expected slot time, and the end of the job corrects
 /// the charge. An account that was idle starts at the virtual time of the
-/// accounts that are being served, so it gains no credit by being idle.
+/// accounts that are being served, so it gains no credit by being idle. That time
+/// advances also where each account has but one job, so that none waits forever.
 #[derive(Clone, Debug)]
 pub(crate) struct FlowTable {
     flows: FastMap<Option<AccountId>, Flow>,
-    /// Latest virtual time at which a job was dispatched.
+    /// Virtual time at which an account starts that was idle.
     virtual_clock: f64,
     /// Expected slot time of a job of any flow, in nanoseconds.
     expected_ns: f64,
@@ -64,6 +65,11 @@
         (used_ns - self.charged_ns).max(0.0) / self.weight
     }
 
+    /// Slot time used until `now`.
+    pub(crate) fn used(&self, now: MonoTime) -> Duration {
+        now.since(self.started)
+    }
+
     /// Returns the client account that is charged.
     pub(crate) fn account(&self) -> &Option<AccountId> {
         &self.account
@@ -76,12 +82,22 @@
         Duration::from_nanos(self.expected_ns as u64)
     }
 
-    /// Virtual time at which the account's next job would start. A job that
-    /// runs longer than expected counts while it runs, not only once it has
-    /// ended.
+    /// Virtual time from which on an account is served that has no waiting job and sends
+    /// one. An account that is not idle keeps its own virtual time.
+    pub(crate) fn arrival(&self, account: &Option<AccountId>) -> f64 {
+        match self.flows.get(account) {
+            Some(flow) if flow.running > 0 => flow.virtual_time,
+            _ => self.virtual_clock,
+        }
+    }
+
+    /// Virtual time at which the account's next job would start. `since` is the virtual
+    /// time from which on it has had waiting jobs. A job that runs longer than expected
+    /// counts while it runs, not only once it has ended.
     pub(crate) fn virtual_start(
         &self,
         account: &Option<AccountId>,
+        since: f64,
         running: &[&FlowCharge],
         now: MonoTime,
     ) -> f64 {
@@ -89,32 +105,34 @@
         let overrun: f64 = own.map(|charge| charge.overrun(now)).sum();
         match self.flows.get(account) {
             Some(flow) if flow.running > 0 => flow.virtual_time + overrun,
-            Some(flow) => flow.virtual_time.max(self.virtual_clock),
-            None => self.virtual_clock,
+            Some(flow) => flow.virtual_time.max(since),
+            None => since,
         }
     }
 
-    /// Charges the expected slot time of a job that is dispatched.
+    /// Charges the expected slot time of a job that is dispatched at the virtual time
+    /// `start`, where `competing` jobs wait.
     pub(crate) fn charge(
         &mut self,
         account: &Option<AccountId>,
         weight: Weight,
         start: f64,
+        competing: usize,
         now: MonoTime,
     ) -> FlowCharge {
         let weight = f64::from(weight.get().max(1));
         let mean_ns = self.expected_ns;
-        self.virtual_clock = self.virtual_clock.max(start);
-        let clock = self.virtual_clock;
         let flow = self.flows.entry(account.clone()).or_insert(Flow {
-            virtual_time: clock,
+            virtual_time: start,
             expected_ns: mean_ns,
             running: 0,
         });
         if flow.running == 0 {
             flow.virtual_time = flow.virtual_time.max(start);
         }
-        flow.virtual_time += flow.expected_ns / weight;
+        let charge = flow.expected_ns / weight;
+        flow.virtual_time += charge;
+        self.virtual_clock = self.virtual_clock.max(start) + charge / (competing + 1) as f64;
         flow.running += 1;
         FlowCharge {
             account: account.clone(),
--- a/crates/admit/src/job.rs
+++ b/crates/admit/src/job.rs
@@ -14,6 +14,21 @@
     }
 }
 
+/// Kind of a request, such as its route, by which its slot time is learned.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WorkKind(pub u32);
+
+impl WorkKind {
+    /// Kind of requests about which nothing is known.
+    pub const UNKNOWN: Self = Self(0);
+}
+
+impl fmt::Display for WorkKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 /// A request that needs a slot of the backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Job {
@@ -27,6 +42,13 @@
     /// which jobs of one rank and account run if not all of them can; the
     /// higher goes first.
     pub work_priority: WorkPriority,
+    /// Kind of the request.
+    pub kind: WorkKind,
+    /// Whether the request was offered to no other server before.
+    pub first_offer: bool,
+    /// Whether it may run more than once. One that may not usually changes something for
+    /// its caller, and is worth more.
+    pub idempotent: bool,
     /// Whether it is internal work, which must not delay customers' requests.
     pub internal: bool,
     /// Whether it is a bulk transfer, which holds its slot for long. Bulk
@@ -47,6 +69,9 @@
     Arrive(Job),
     /// A dispatched job has ended and releases its slot.
     Finish(JobId),
+    /// A dispatched job was rejected by the backend server, or its connection was lost,
+    /// and it releases its slot. The time until then says nothing about its kind.
+    Abort(JobId),
     /// A dispatched job releases its slot, and nothing of it was sent to the
     /// backend server.
     Release(JobId),
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -9,11 +9,16 @@
 //! whose requests take ten times as long gets a tenth as many.
 
 mod demand;
+mod displacement;
 mod flow;
 mod job;
-mod order;
+mod limits;
 mod pace;
 mod queue;
+mod waiting;
+mod work;
 
-pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal};
-pub use queue::{QueueLimits, QueueReport, SlotQueue};
+pub use displacement::{Displacement, JobOutlook, JobTerms, displacement};
+pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal, WorkKind};
+pub use limits::{QueueLimits, QueueReport};
+pub use queue::SlotQueue;
--- a/crates/admit/src/pace.rs
+++ b/crates/admit/src/pace.rs
@@ -4,7 +4,7 @@
 
 use ids::{AccountId, FastMap, FastSet, MonoTime, Rank, RequestRate};
 
-use crate::job::{Job, JobId};
+use crate::{job::JobId, waiting::QueuedJob};
 
 /// Longest time between two dispatches. A server that names a lower rate gets a
 /// request at this interval, because only its answers tell when the limit ends.
@@ -66,32 +66,34 @@
 /// Returns the jobs that can't end before their deadline under the pace of dispatches.
 ///
 /// `wait` returns the expected wait of a job by the number of jobs before it, and
-/// `soonest_end` is when a job ends that is dispatched now. Jobs of one rank are taken
+/// `mean` is the slot time of jobs of unknown kinds. Jobs of one rank are taken
 /// to be dispatched in turn, one of each account.
 pub(crate) fn late_jobs(
-    jobs: &[Job],
-    soonest_end: MonoTime,
+    jobs: &[QueuedJob],
+    now: MonoTime,
+    mean: Duration,
     wait: impl Fn(usize) -> Duration,
 ) -> FastSet<JobId> {
     let mut counts: FastMap<(bool, Rank, &Option<AccountId>), u32> = FastMap::default();
     let mut turns: Vec<_> = jobs
         .iter()
-        .map(|job| {
+        .map(|queued| {
+            let job = &queued.job;
             let count = counts
                 .entry((job.internal, job.rank, &job.account))
                 .or_default();
             *count += 1;
-            (job.internal, job.rank, *count, job)
+            (job.internal, job.rank, *count, queued)
         })
         .collect();
     turns.sort_by_key(|(internal, rank, count, _)| (*internal, *rank, *count));
     let mut late = FastSet::default();
     let mut ahead = 0;
-    for (_, _, _, job) in turns {
+    for (_, _, _, queued) in turns {
         let wait = wait(ahead);
-        match !wait.is_zero() && job.deadline <= soonest_end + wait {
+        match !wait.is_zero() && queued.last_start(mean) <= now + wait {
             true => {
-                late.insert(job.id);
+                late.insert(queued.job.id);
             }
             false => ahead += 1,
         }
--- a/crates/admit/tests/fair_share.rs
+++ b/crates/admit/tests/fair_share.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, QueueRefusal, SlotQueue};
+use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, QueueRefusal, SlotQueue, WorkKind};
 use ids::{AccountId, MonoTime, Rank, Slots, Weight, WorkPriority};
 use test_case::test_case;
 
@@ -49,6 +49,9 @@
             work_priority: WorkPriority(0),
             account: Some(load.name.parse::<AccountId>().unwrap()),
             internal: false,
+            kind: WorkKind::UNKNOWN,
+            first_offer: true,
+            idempotent: true,
             bulk: false,
             weight: Weight(load.weight),
             target: self.now + Duration::from_secs(3_600),
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, SlotQueue};
+use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, SlotQueue, WorkKind};
 use ids::{AccountId, FastMap, MonoTime, Rank, Slots, Weight, WorkPriority};
 
 /// Slot time of every job.
@@ -58,6 +58,9 @@
                 rank: Rank(0),
                 work_priority: WorkPriority(0),
                 internal: false,
+                kind: WorkKind::UNKNOWN,
+                first_offer: true,
+                idempotent: true,
                 bulk: false,
                 weight: Weight(1),
                 target: now + TARGET,
@@ -137,6 +140,9 @@
                 rank,
                 work_priority: WorkPriority(0),
                 internal: false,
+                kind: WorkKind::UNKNOWN,
+                first_offer: true,
+                idempotent: true,
                 bulk: false,
                 weight: Weight(1),
                 target: now + TARGET,
--- a/crates/admit/tests/queue_fuzz.rs
+++ b/crates/admit/tests/queue_fuzz.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, SlotQueue};
+use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, SlotQueue, WorkKind};
 use ids::{AccountId, MonoTime, Rank, Slots, Weight, WorkPriority};
 use proptest::{prelude::*, test_runner::RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -209,6 +209,9 @@
                     work_priority: WorkPriority(0),
                     account: Some(format!("account-{account}").parse::<AccountId>().unwrap()),
                     internal,
+                    kind: WorkKind::UNKNOWN,
+                    first_offer: true,
+                    idempotent: true,
                     bulk,
                     weight: Weight(1 + u32::from(account % 2)),
                     target: model.now + Duration::from_millis(timeout_ms),
--- a/crates/admit/tests/server_limit.rs
+++ b/crates/admit/tests/server_limit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, QueueRefusal, SlotQueue};
+use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, QueueRefusal, SlotQueue, WorkKind};
 use ids::{MonoTime, Rank, RequestRate, Slots, Weight, WorkPriority};
 use test_case::test_case;
 
@@ -24,6 +24,9 @@
         rank: Rank(0),
         work_priority: WorkPriority(0),
         internal: false,
+        kind: WorkKind::UNKNOWN,
+        first_offer: true,
+        idempotent: true,
         bulk: false,
         weight: Weight(1),
         target: at(millis + budget_ms / 2),
--- a/crates/admit/tests/shared_fate.rs
+++ b/crates/admit/tests/shared_fate.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, SlotQueue};
+use admit::{Job, JobId, QueueAction, QueueEvent, QueueLimits, SlotQueue, WorkKind};
 use ids::{FastMap, MonoTime, Rank, Slots, Weight, WorkPriority};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use test_case::test_case;
@@ -104,6 +104,9 @@
                     rank: Rank(0),
                     work_priority: WorkPriority(priority),
                     internal: false,
+                    kind: WorkKind::UNKNOWN,
+                    first_offer: true,
+                    idempotent: true,
                     bulk: false,
                     weight: Weight(1),
                     target: now + TARGET,
--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -86,6 +86,11 @@
     pub rank: Rank,
     /// Priority among otherwise equal requests when not all can be served.
     pub work_priority: WorkPriority,
+    /// Kind of the request, by which the egress learns how much work it is: a hash of
+    /// its route and method.
+    pub kind: u32,
+    /// Whether the request was offered to no other server before.
+    pub first_offer: bool,
     /// Whether the request is internal work.
     pub internal: bool,
     /// Whether the request is a bulk transfer.
--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -66,6 +66,7 @@
         };
         self.metrics.waiting.set(sum(|report| report.waiting));
         self.metrics.running.set(sum(|report| report.running));
+        self.metrics.owed_kinds.set(sum(|report| report.owed));
         self.metrics
             .limited_servers
             .set(sum(|report| u32::from(report.limit.is_some())));
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -8,6 +8,7 @@
     SearchReach, ServerNotice, SlotSearch,
 };
 use ids::{VmId, Weight};
+use route::AttemptId;
 
 use super::{RequestAttempt, canary::CanaryGuard, lock};
 use crate::{
@@ -253,6 +254,8 @@
     /// Builds the properties of the request that the egress needs.
     fn build_job(&self, choice: &ServerChoice) -> OfferJob {
         let options = self.options();
+        let is_first_search = self.stall.0 == AttemptId(0);
+        let is_first = is_first_search && self.asked.first() == Some(&choice.server.backend.id);
         let account = options.account.as_ref();
         let remaining = self.ingress.clock.until(options.deadline);
         OfferJob {
@@ -262,6 +265,8 @@
             weight: account.map_or(Weight(1), |account| account.weight),
             rank: options.rank,
             work_priority: options.work_priority,
+            kind: options.kind,
+            first_offer: is_first,
             internal: options.internal,
             bulk: options.bulk,
             idempotent: options.idempotent,
--- a/crates/serve/src/desk.rs
+++ b/crates/serve/src/desk.rs
@@ -13,6 +13,8 @@
     pub waiters: FastMap<JobId, oneshot::Sender<Result<(), QueueRefusal>>>,
     /// Id of the next job.
     pub next_job: u64,
+    /// Time of the latest log line about kinds that get less than their least share.
+    pub owed_logged_at: Option<MonoTime>,
 }
 
 impl QueueState {
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -60,6 +60,7 @@
                             "egress: {} sent an answer to another request; it is discarded.",
                             self.id
                         );
+                        held.ticket.aborted = true;
                         self.record_outcome(Outcome::Broken);
                         self.record_failure(overdue);
                         self.without_answer(EgressOutcome::Lost)
@@ -73,6 +74,7 @@
                 self.not_run(NotRun::Unreachable)
             }
             Some(Err(SendError::Lost(cause))) => {
+                held.ticket.aborted = true;
                 self.log_lost(request_id.as_ref(), attempt, &cause, service);
                 self.record_outcome(Outcome::Lost);
                 self.record_failure(overdue);
@@ -140,6 +142,7 @@
     /// Records that the backend server reports not to have run a request, and
     /// returns the result.
     fn handle_rejection(&self, reason: NotRun, mut held: HeldSlot) -> EgressAnswer {
+        held.ticket.aborted = true;
         match reason {
             NotRun::Shedding => {
                 held.pass.rejected = true;
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -406,6 +406,7 @@
                 queue,
                 waiters: FastMap::default(),
                 next_job: 0,
+                owed_logged_at: None,
             }),
             tick_lock: tokio::sync::Mutex::default(),
             tick_changed: Notify::new(),
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use admit::{Job, JobId, QueueEvent, QueueRefusal};
+use admit::{Job, JobId, QueueEvent, QueueRefusal, WorkKind};
 use config::Backend;
 use health::{FailedCalls, GateDecision, Outcome, RejectionShare, ServerGate};
 use hop::{OfferJob, ServerLoad};
@@ -39,6 +39,9 @@
 /// request is refused.
 const LOADED_DELAY: Duration = Duration::from_millis(20);
 
+/// Least time between log lines about kinds of requests that are hardly served.
+const OWED_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Decision of the queue on a waiting job.
 type JobDecision = Result<Result<(), QueueRefusal>, oneshot::error::RecvError>;
 /// Receives the decision on a waiting job.
@@ -264,6 +267,9 @@
             rank: offered.rank,
             work_priority: offered.work_priority,
             account: offered.account.clone(),
+            kind: WorkKind(offered.kind),
+            first_offer: offered.first_offer,
+            idempotent: offered.idempotent,
             internal: offered.internal,
             bulk: offered.bulk,
             weight: offered.weight,
@@ -271,15 +277,36 @@
             deadline,
         };
         state.handle(self.clock.now(), QueueEvent::Arrive(job));
+        self.log_owed(&mut state);
         drop(state);
         let ticket = SlotTicket {
             server: Arc::clone(self),
             id,
             sent: false,
+            aborted: false,
         };
         (ticket, decision)
     }
 
+    /// Logs that kinds of requests get less than their least share and go first, at most
+    /// once in [`OWED_LOG_INTERVAL`].
+    fn log_owed(&self, state: &mut QueueState) {
+        let now = self.clock.now();
+        let report = state.queue.report(now);
+        let due = state
+            .owed_logged_at
+            .is_none_or(|at| now.since(at) >= OWED_LOG_INTERVAL);
+        if report.owed > 0 && due {
+            state.owed_logged_at = Some(now);
+            log::info!(
+                server = self.id.as_str(),
+                kinds = report.owed,
+                waiting = report.waiting;
+                "egress: some kinds of requests are hardly served; their next ones go first."
+            );
+        }
+    }
+
     /// Counts a failure, unless the request was already counted as slow, and
     /// notifies recent ingresses.
     pub(super) fn record_failure(&self, overdue: bool) {
--- a/crates/serve/src/egress/slot.rs
+++ b/crates/serve/src/egress/slot.rs
@@ -45,6 +45,8 @@
     pub(super) id: JobId,
     /// Whether the request was sent to the backend server, or may have been.
     pub(super) sent: bool,
+    /// Whether the request ended without an answer before its deadline.
+    pub(super) aborted: bool,
 }
 
 impl Drop for SlotTicket {
@@ -53,6 +55,7 @@
         let mut state = self.server.lock();
         state.waiters.remove(&self.id);
         let event = match state.queue.is_running(self.id) {
+            true if self.sent && self.aborted => QueueEvent::Abort(self.id),
             true if self.sent => QueueEvent::Finish(self.id),
             true => QueueEvent::Release(self.id),
             false => QueueEvent::Cancel(self.id),
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -220,6 +220,7 @@
             trace: Arc::clone(trace),
             rank: self.queue_rank(route, account),
             work_priority: self.work_priority(&trace.request_id),
+            kind: work_kind(route, head.method.as_str()),
             max_attempts: route.terms.max_attempts,
             account: context
                 .caller
@@ -347,6 +348,13 @@
     }
 }
 
+/// Returns the kind of a request: a hash of its route and method that is the same in
+/// every daemon and not 0.
+fn work_kind(route: &Route, method: &str) -> u32 {
+    let route = ids::stable_pair_hash(ids::stable_hash(route.host.as_bytes()), &route.prefix);
+    (ids::stable_pair_hash(route, method) as u32).max(1)
+}
+
 /// Whether the caller gets a successful answer of a backend server.
 fn is_success(result: &Result<Response<ProxyBody>, Refusal>) -> bool {
     result
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -77,6 +77,9 @@
     pub connections: Gauge,
     /// Number of backend servers of this VM that have named a limit.
     pub limited_servers: Gauge,
+    /// Number of ranks and kinds of requests at the egress that get less than their
+    /// least share.
+    pub owed_kinds: Gauge,
     /// Number of requests that wait for a slot at the egress.
     pub waiting: Gauge,
     /// Number of requests that hold a slot at the egress.
@@ -107,6 +110,7 @@
             ledger: ByteLedger::default(),
             connections: Gauge::default(),
             limited_servers: Gauge::default(),
+            owed_kinds: Gauge::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
         };
@@ -219,6 +223,11 @@
             "Backend servers of this VM that have named a limit",
             self.limited_servers.clone(),
         );
+        registry.register(
+            "owed_kinds",
+            "Ranks and kinds of requests that get less than their least share",
+            self.owed_kinds.clone(),
+        );
         registry.register("waiting", "Jobs that wait for a slot", self.waiting.clone());
         registry.register("running", "Jobs that hold a slot", self.running.clone());
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -48,6 +48,8 @@
     pub rank: Rank,
     /// Priority among otherwise equal requests when not all can be served.
     pub work_priority: WorkPriority,
+    /// Kind of the request, by which egresses learn how much work it is.
+    pub kind: u32,
     /// Maximum number of backend servers that may run the request.
     pub max_attempts: Option<u32>,
     /// Whether the request is internal work.
