Calls of running requests do not share the slots of one account

What callers saw: where calls of running requests compete with requests of the same rank, most calls are refused, and the requests that make them fail.

Cause: calls have no account, so all of them are one flow of the fair share, beside one for each account.

Change: when a call is dispatched, its flow has a weight of the number of calls that wait. Requests without an account that are not part of a piece of work still share one flow.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::LazyCell, time::Duration};
 
-use ids::{FastMap, FastSet, MonoTime, Rank, RequestRate};
+use ids::{FastMap, FastSet, MonoTime, Rank, RequestRate, Weight, WorkPriority};
 
 use crate::{
     demand::ArrivalWindow,
@@ -370,9 +370,10 @@
             self.shares.record_served(&job);
             self.owed = self.shares.owed();
             let start = order.virtual_start;
+            let weight = self.flow_weight(&job);
             let charge = self
                 .flows
-                .charge(&job.account, job.weight, start, competing, now);
+                .charge(&job.account, weight, start, competing, now);
             let running = RunningJob {
                 charge,
                 rank: job.rank,
@@ -388,6 +389,21 @@
         }
     }
 
+    /// Returns the weight of the account of a job that is dispatched. Calls of running
+    /// requests have no account and come from as many origins as there are pieces of work,
+    /// so together they count as as many accounts.
+    fn flow_weight(&self, job: &Job) -> Weight {
+        let is_call = |job: &Job| job.account.is_none() && job.work_priority > WorkPriority(0);
+        match is_call(job) {
+            false => job.weight,
+            true => {
+                let others = self.waiting.iter();
+                let others = others.filter(|queued| is_call(&queued.job));
+                Weight(1 + others.count() as u32)
+            }
+        }
+    }
+
     /// Returns the job to run next.
     fn next_job(&mut self, now: MonoTime) -> Option<JobOrder> {
         let internal_slots = self.internal_slots(now);
