--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -12,12 +12,19 @@
 
 mod cold;
 mod demand;
+mod displacement;
 mod flow;
 mod job;
-mod order;
+mod limits;
 mod pace;
 mod queue;
+mod waiting;
+mod work;
 
 pub use cold::{ColdDecision, ColdEvent, ColdLimit, ColdRate};
+pub use displacement::{Displacement, JobOutlook, JobTerms, displacement};
 pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal};
+pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal, WorkKind};
+pub use limits::{QueueLimits, QueueReport};
+pub use queue::SlotQueue;
 pub use queue::{QueueLimits, QueueReport, SlotQueue};
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -104,6 +104,9 @@
     /// Number of services, with the homes of requests, for which the latest request
     /// found no backend server.
     pub unserved_homes: Gauge,
+    /// Number of ranks and kinds of requests at the egress that get less than their
+    /// least share.
+    pub owed_kinds: Gauge,
     /// Number of requests that wait for a slot at the egress.
     pub waiting: Gauge,
     /// Number of requests that hold a slot at the egress.
@@ -142,6 +145,7 @@
             cold_servers: Gauge::default(),
             cold_refused: Counter::default(),
             unserved_homes: Gauge::default(),
+            owed_kinds: Gauge::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
         };
@@ -294,6 +298,11 @@
             "Services without a backend server in the regions that requests allow",
             self.unserved_homes.clone(),
         );
+        registry.register(
+            "owed_kinds",
+            "Ranks and kinds of requests that get less than their least share",
+            self.owed_kinds.clone(),
+        );
         registry.register("waiting", "Jobs that wait for a slot", self.waiting.clone());
         registry.register("running", "Jobs that hold a slot", self.running.clone());
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -52,6 +52,8 @@
     pub work_priority: WorkPriority,
     /// Regions that the request may be run in.
     pub homes: HomeRegions,
+    /// Kind of the request, by which egresses learn how much work it is.
+    pub kind: u32,
     /// Maximum number of backend servers that may run the request.
     pub max_attempts: Option<u32>,
     /// Whether the request is internal work.
