--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -23,8 +23,6 @@
 
 pub use cold::{ColdDecision, ColdEvent, ColdLimit, ColdRate};
 pub use displacement::{Displacement, JobOutlook, JobTerms, displacement};
-pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal};
 pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal, WorkKind};
 pub use limits::{QueueLimits, QueueReport};
 pub use queue::SlotQueue;
-pub use queue::{QueueLimits, QueueReport, SlotQueue};
