Least shares are compared only while jobs wait

Each event of a slot queue compared the served shares of all kinds, also where every request gets a slot at once. They matter only among jobs that compete.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -120,7 +120,7 @@
         // A process that was suspended may hold jobs whose callers gave up long
         // ago, so deadlines are checked before each dispatch and not only when
         // a timer fires.
-        self.owed = self.shares.owed();
+        self.find_owed();
         self.expire(now, &mut actions);
         self.dispatch(now, &mut actions);
         self.trim(now, &mut actions);
@@ -262,6 +262,15 @@
         (ahead + running) / self.limits.slots.get().max(1)
     }
 
+    /// Finds the ranks and kinds that have got less than their least share. They matter
+    /// only while jobs wait.
+    fn find_owed(&mut self) {
+        match self.waiting.is_empty() {
+            true => self.owed.clear(),
+            false => self.owed = self.shares.owed(),
+        }
+    }
+
     /// Whether the rank and kind of a job has got less than its least share.
     fn is_owed(&self, job: &Job) -> bool {
         !job.internal && self.owed.contains(&(job.rank, job.kind))
@@ -368,7 +377,7 @@
             let job = self.waiting.remove(order.index).job;
             self.shares.record_wanted(&job);
             self.shares.record_served(&job);
-            self.owed = self.shares.owed();
+            self.find_owed();
             let start = order.virtual_start;
             let weight = self.flow_weight(&job);
             let charge = self
