--- a/crates/route/tests/retry_budget.rs
+++ b/crates/route/tests/retry_budget.rs
@@ -49,3 +49,40 @@
     let share = 0.2 * 20.0 * daemons as f64;
     assert!(taken >= 0.9 * share, "{taken} of {share}");
 }
+
+/// Returns the shares of the wanted retries of ranks 0 and 2 that a daemon grants when
+/// each of its requests wants a retry with these probabilities, in hundredths.
+fn granted(daemons: usize, wanted: [u64; 2]) -> [f64; 2] {
+    let budget = RetryBudget::with_seed(9);
+    budget.set_capacity(188.0, daemons);
+    let mut counts = [[0_u32; 2]; 2];
+    for number in 0..4_000_u64 {
+        budget.deposit(SHARE);
+        for (index, rank) in [Rank(0), Rank(2)].into_iter().enumerate() {
+            if ids::stable_pair_hash(number, &rank.to_string()) % 100 < wanted[index] {
+                counts[index][0] += 1;
+                let urgency = RetryUrgency::new(rank, false);
+                counts[index][1] += u32::from(budget.withdraw(urgency));
+            }
+        }
+    }
+    counts.map(|[wanted, granted]| f64::from(granted) / f64::from(wanted.max(1)))
+}
+
+// Guards against retries of low ranks that leave none for the others. A daemon among 91
+// saves one retry at the most, so it cannot reserve more.
+#[test]
+fn urgent_ranks_draw_first() {
+    let [first, last] = granted(91, [15, 40]);
+    assert!(first >= last + 0.05, "{first} {last}");
+    // What the urgent leave is used.
+    let used = (15.0 * first + 40.0 * last) / 20.0;
+    assert!(used >= 0.85, "{used}");
+}
+
+// Guards against retries that are held back although the budget covers all.
+#[test]
+fn few_are_granted_to_all() {
+    let [first, last] = granted(20, [1, 2]);
+    assert!(first >= 0.95 && last >= 0.95, "{first} {last}");
+}
