--- a/crates/admit/src/displacement.rs
+++ b/crates/admit/src/displacement.rs
@@ -1,8 +1,9 @@
 //! Order in which jobs that compete for slots are served, and the reverse order in
 //! which they are displaced.
 //!
-//! [`displacement`] is the only place that weighs one job against another. The queue
-//! uses it for dispatches, forecasts, refusals and for the bound on waiting jobs. What it
+//! [`displacement`] decides which job is dispatched, which waiting job can no longer be
+//! served, and which one is refused when too many wait. Forecasts of waits (`WorkAhead`)
+//! use only the rank, since the rest of the order changes before a job's turn. What it
 //! takes into account, in this order:
 //!
 //! 1. internal work goes last;
