--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -7,13 +7,22 @@
 //!
 //! Client accounts share slot time and not the number of requests: an account
 //! whose requests take ten times as long gets a tenth as many.
+//!
+//! [`ColdRate`] bounds what is sent to a backend server that is cold after its start.
 
+mod cold;
 mod demand;
+mod displacement;
 mod flow;
 mod job;
-mod order;
+mod limits;
 mod pace;
 mod queue;
+mod waiting;
+mod work;
 
-pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal};
-pub use queue::{QueueLimits, QueueReport, SlotQueue};
+pub use cold::{ColdDecision, ColdEvent, ColdLimit, ColdRate};
+pub use displacement::{Displacement, JobOutlook, JobTerms, displacement};
+pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal, WorkKind};
+pub use limits::{QueueLimits, QueueReport};
+pub use queue::SlotQueue;
--- a/crates/config/examples/two_years.rs
+++ b/crates/config/examples/two_years.rs
@@ -51,6 +51,7 @@
         Record::Zone(Zone {
             id: format!("zone-{n}").parse().unwrap(),
             region: format!("region-{}", n % 5).parse().unwrap(),
+            evacuated: false,
         })
     });
     add(&mut builder, "vms", vms, |n| {
@@ -74,6 +75,7 @@
             address: ([10, 0, (n % vms / 250) as u8, (n % vms % 250) as u8], 9_000).into(),
             slots: Slots(4),
             connections: 300,
+            cold: false,
         })
     });
     add(&mut builder, "routes", routes, |n| {
@@ -95,6 +97,7 @@
             burst: TokenAmount::whole(100),
             weight: Weight(1),
             rank: None,
+            homes: Vec::new(),
         })
     });
     add(&mut builder, "keys", accounts, |n| {
@@ -150,6 +153,7 @@
             burst: TokenAmount::whole(100),
             weight: Weight(1),
             rank: None,
+            homes: Vec::new(),
         });
         let mut builder = TableBuilder::from_table(&table);
         builder.put(record.clone()).expect("the record is valid");
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -148,6 +148,9 @@
     pub weight: Option<Weight>,
     /// Rank of the account's requests; overrides the rank of the route.
     pub rank: Option<Rank>,
+    /// Regions that requests may be run in; if empty, all of them.
+    #[serde(default)]
+    pub homes: Vec<RegionId>,
 }
 
 /// A caller's key of the rules.
@@ -193,6 +196,7 @@
                 let zone = Zone {
                     id,
                     region: region.name.clone(),
+                    evacuated: false,
                 };
                 let path = [
                     property("regions"),
@@ -228,6 +232,7 @@
                 address: server.address,
                 slots,
                 connections: server.connections.unwrap_or(DEFAULT_CONNECTIONS),
+                cold: false,
             };
             let path = [
                 vm_path.as_slice(),
@@ -272,6 +277,7 @@
                 burst: TokenAmount::whole(rule.burst),
                 weight: rule.weight.unwrap_or(Weight(1)),
                 rank: rule.rank,
+                homes: rule.homes,
             };
             self.push(Record::Account(account), &file, &path);
         }
@@ -321,6 +327,7 @@
         hedge: rule.hedge.unwrap_or(defaults.hedge),
         health_path: rule.health_path.clone(),
         load_path: rule.load_path.clone(),
+        cold: None,
         id: defaults.id,
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,7 @@
 mod check;
 mod digest;
 mod document;
+mod encode;
 mod fault;
 mod jsonc;
 mod members;
@@ -29,8 +30,8 @@
 pub use jsonc::parse_document;
 pub use members::PoolMembers;
 pub use model::{
-    Access, Account, Backend, CallerKey, DetectionMode, Route, RouteTerms, Service, TrafficClass,
-    Vm, VmEntry, VmList, VmState, WeightedService, Zone,
+    Access, Account, Backend, CallerKey, CheckedKey, ClientLimits, ColdTerms, DetectionMode, Route,
+    RouteTerms, Service, TrafficClass, Vm, VmEntry, VmList, VmState, WeightedService, Zone,
 };
 pub use pack::{
     Changes, Delta, MAX_VALUE_BYTES, Manifest, PackedValue, PartRef, delta_between, diff_records,
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -4,10 +4,10 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use ids::{
-    AccountId, KeyId, Percent, RackId, Rank, RegionId, Revision, ServerId, ServiceId, Slots,
-    TokenAmount, TokenRate, VmId, Weight, ZoneId,
+    AccountId, KeyId, Percent, RackId, Rank, RegionId, RequestRate, Revision, ServerId, ServiceId,
+    Slots, TokenAmount, TokenRate, VmId, Weight, ZoneId,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer, ser::SerializeStruct};
 
 use crate::{KeyDigest, PackedRecord};
 
@@ -18,6 +18,9 @@
     pub id: ZoneId,
     /// Region of the zone.
     pub region: RegionId,
+    /// Whether the zone is evacuated: its backend servers get no new requests.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub evacuated: bool,
 }
 
 /// A VM and the address of its daemon.
@@ -35,7 +38,7 @@
 }
 
 /// A backend server.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
 pub struct Backend {
     /// Name of the backend server.
     pub id: ServerId,
@@ -49,6 +52,46 @@
     pub slots: Slots,
     /// Maximum number of connections that the backend server accepts.
     pub connections: u32,
+    /// Whether the backend server is cold after a start, and takes only the rate of
+    /// its service's [`ColdTerms`].
+    #[serde(default)]
+    pub cold: bool,
+}
+
+impl Serialize for Backend {
+    /// Leaves out `cold` in text if it is false, so that the digests of other servers
+    /// are those of earlier versions. The packed form has all fields.
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let skip_cold = serializer.is_human_readable() && !self.cold;
+        let mut fields = serializer.serialize_struct("Backend", 7 - usize::from(skip_cold))?;
+        fields.serialize_field("id", &self.id)?;
+        fields.serialize_field("vm", &self.vm)?;
+        fields.serialize_field("service", &self.service)?;
+        fields.serialize_field("address", &self.address)?;
+        fields.serialize_field("slots", &self.slots)?;
+        fields.serialize_field("connections", &self.connections)?;
+        match skip_cold {
+            true => fields.skip_field("cold")?,
+            false => fields.serialize_field("cold", &self.cold)?,
+        }
+        fields.end()
+    }
+}
+
+/// What a backend server of a service takes after its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ColdTerms {
+    /// Time for which it is cold after a start, in milliseconds.
+    pub after_start_ms: u32,
+    /// Rate that it takes from the whole fleet while it is cold.
+    pub rate: RequestRate,
+}
+
+impl ColdTerms {
+    /// Time for which a backend server is cold after a start.
+    pub fn after_start(&self) -> Duration {
+        Duration::from_millis(u64::from(self.after_start_ms))
+    }
 }
 
 /// What a service prefers while evidence against a backend server is weak: few
@@ -86,6 +129,9 @@
     /// Path of the load endpoint that the backend servers provide.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub load_path: Option<Box<str>>,
+    /// What a backend server takes after its start, if that is less than later.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdTerms>,
 }
 
 impl Service {
@@ -100,6 +146,7 @@
             hedge: true,
             health_path: None,
             load_path: None,
+            cold: None,
         }
     }
 
@@ -173,8 +220,8 @@
     pub weight: u32,
 }
 
-/// Timeouts, number of attempts, rank and traffic split of a route.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+/// Timeouts, number of attempts, rank, traffic split and homes of a route.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RouteTerms {
     /// Maximum time that a caller waits for the answer, in milliseconds;
@@ -190,6 +237,8 @@
     /// Services that the traffic is split between; if empty, all of it goes to
     /// the route's `service`.
     pub split: Vec<WeightedService>,
+    /// Regions that requests may be run in; if empty, all of them.
+    pub homes: Vec<RegionId>,
 }
 
 impl Route {
@@ -217,7 +266,7 @@
 }
 
 /// A client account with its rate limit, which applies across the fleet.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
 pub struct Account {
     /// Name of the account.
     pub id: AccountId,
@@ -230,6 +279,46 @@
     /// Rank of the account's requests; overrides the rank of the route.
     #[serde(default)]
     pub rank: Option<Rank>,
+    /// Regions that requests may be run in; if empty, all of them. Those of the route
+    /// apply as well.
+    #[serde(default)]
+    pub homes: Vec<RegionId>,
+}
+
+/// Rate of accounts without a limit, in requests per second; far above what a fleet
+/// serves.
+const UNLIMITED_RATE: u64 = 10_000_000;
+
+impl Account {
+    /// Returns the rate and the burst of an account without a limit.
+    pub fn unlimited() -> (TokenRate, TokenAmount) {
+        (
+            TokenRate::per_second(UNLIMITED_RATE),
+            TokenAmount::whole(UNLIMITED_RATE),
+        )
+    }
+
+    /// Whether the account has a limit. Requests of one without a limit need no
+    /// tokens.
+    pub fn is_limited(&self) -> bool {
+        self.rate.as_f64() < UNLIMITED_RATE as f64
+    }
+}
+
+/// Limits of callers' connections. The settings of a daemon apply instead of a
+/// missing one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct ClientLimits {
+    /// Maximum size of the head of a request, in bytes.
+    pub head_bytes: Option<u32>,
+    /// Maximum size of the body of a request, in bytes.
+    pub body_bytes: Option<u64>,
+    /// Maximum time from the first byte of a head to its last, in milliseconds.
+    pub head_timeout_ms: Option<u32>,
+    /// Maximum time that a connection may be idle between requests, in
+    /// milliseconds.
+    pub idle_timeout_ms: Option<u32>,
 }
 
 /// A caller's key, stored only as a digest.
@@ -243,6 +332,15 @@
     pub account: AccountId,
 }
 
+/// A caller's key that a daemon has found in its table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct CheckedKey {
+    /// Digest of the key.
+    pub digest: KeyDigest,
+    /// Revision of the table that contains the key.
+    pub revision: Revision,
+}
+
 /// State of a VM according to the platform.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -60,6 +60,7 @@
             records.push(Record::Zone(Zone {
                 id: name(format!("zone-{zone}")),
                 region: name("region".to_owned()),
+                evacuated: false,
             }));
         }
         let mut vms = VmList {
@@ -89,6 +90,7 @@
                     address: *address,
                     slots: Slots(service.slots),
                     connections: 350,
+                    cold: false,
                 }));
                 next_vm += 1;
             }
@@ -114,6 +116,7 @@
                 burst: TokenAmount::whole(*burst),
                 weight: Weight(1),
                 rank: None,
+                homes: Vec::new(),
             }));
             records.push(Record::Key(CallerKey {
                 digest: hasher.digest(format!("key-of-{account}").as_bytes()),
--- a/crates/hop/src/message.rs
+++ b/crates/hop/src/message.rs
@@ -2,9 +2,9 @@
 
 use std::{fmt, time::Duration};
 
-use config::KeyDigest;
+use config::CheckedKey;
 use health::OutcomeCounts;
-use ids::{AccountId, Rank, ServerId, Weight, WorkPriority};
+use ids::{AccountId, Percent, Rank, ServerId, Weight, WorkPriority};
 use serde::{Deserialize, Serialize};
 
 /// Id of an offer, unique within the daemon that makes the offer.
@@ -51,6 +51,10 @@
     Lapsed,
     /// The rate that the backend server has named leaves no room in time.
     Limited,
+    /// The backend server is cold, and its admission rate leaves no room.
+    Cold,
+    /// The availability zone of the backend server is evacuated.
+    Evacuated,
 }
 
 impl fmt::Display for NotRun {
@@ -66,6 +70,8 @@
             Self::Failing => "failing",
             Self::Lapsed => "lapsed",
             Self::Limited => "limited",
+            Self::Cold => "cold",
+            Self::Evacuated => "evacuated",
         })
     }
 }
@@ -77,15 +83,19 @@
     pub server: ServerId,
     /// Client account of the caller; `None` on an open route.
     pub account: Option<AccountId>,
-    /// Digest of the caller's key, which is checked again when the slot is
-    /// granted.
-    pub key: Option<KeyDigest>,
+    /// Caller's key, which is checked again when the slot is granted.
+    pub key: Option<CheckedKey>,
     /// Relative share of the account when accounts compete for slots.
     pub weight: Weight,
     /// Rank among the requests that wait for a slot.
     pub rank: Rank,
     /// Priority among otherwise equal requests when not all can be served.
     pub work_priority: WorkPriority,
+    /// Kind of the request, by which the egress learns how much work it is: a hash of
+    /// its route and method.
+    pub kind: u32,
+    /// Whether the request was offered to no other server before.
+    pub first_offer: bool,
     /// Whether the request is internal work.
     pub internal: bool,
     /// Whether the request is a bulk transfer.
@@ -120,6 +130,9 @@
     pub counts: OutcomeCounts,
     /// Whether the egress refuses ordinary requests for the backend server.
     pub closed: bool,
+    /// Share of recent requests that the backend server rejected without running
+    /// them.
+    pub rejected: Percent,
 }
 
 /// Reply of an egress about an offer.
--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -66,9 +66,12 @@
         };
         self.metrics.waiting.set(sum(|report| report.waiting));
         self.metrics.running.set(sum(|report| report.running));
+        self.metrics.owed_kinds.set(sum(|report| report.owed));
         self.metrics
             .limited_servers
             .set(sum(|report| u32::from(report.limit.is_some())));
+        let cold = self.egress.cold_servers() as i64;
+        self.metrics.cold_servers.set(cold);
         self.metrics
             .revision
             .set(self.view.table().revision().get() as i64);
@@ -87,6 +90,8 @@
             .iter()
             .map(|pool| dump_pool(pool))
             .collect();
+        let evacuated = table.zones().filter(|zone| zone.evacuated);
+        let evacuated: Vec<&str> = evacuated.map(|zone| zone.id.as_str()).collect();
         let dump = json!({
             "vm": self.view.vm,
             "zone": self.view.zone,
@@ -98,6 +103,7 @@
                 "revision": table.revision(),
                 "state": table.state_digest(),
                 "counts": table.counts(),
+                "evacuated": evacuated,
             },
             "vms": { "revision": vms.revision, "listed": vms.vms.len() },
             "pools": pools,
--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::{Request, Response, Version, body::Body, http::request::Parts};
 use ids::{FastMap, FastSet, MonoTime, ServerId};
-use route::{AttemptEnd, AttemptId};
+use route::{AttemptEnd, AttemptId, RequestScope};
 use tokio::sync::mpsc;
 
 use self::{
@@ -78,6 +78,8 @@
     replied: FastSet<OfferId>,
     /// Whether an offer was made to a server that is considered failing.
     forced: bool,
+    /// Whether a server refused an offer because it is cold.
+    refused_cold: bool,
     /// Reports the result if the request is a canary.
     canary: Option<CanaryGuard<'a>>,
     /// Number of the attempt, and where it reports that it has stalled.
@@ -101,6 +103,8 @@
     pub body: Mutex<Option<ProxyBody>>,
     /// Servers that the request was committed to and that may have run it.
     pub committed_to: Mutex<Vec<ServerId>>,
+    /// Places that the request may be sent to.
+    pub scope: Mutex<RequestScope>,
     /// Shortest expected wait for a slot that an egress sent with a refusal.
     pub shortest_wait: Mutex<Option<Duration>>,
 }
@@ -153,6 +157,7 @@
             offers: FastMap::default(),
             replied: FastSet::default(),
             forced: false,
+            refused_cold: false,
             canary: None,
             stall,
         }
@@ -181,6 +186,7 @@
             offers.withdraw_on_drop(&slot);
             return AttemptResult::NoServer;
         };
+        self.options().sent.set();
         lock(&self.source.committed_to).push(slot.choice.server.backend.id.clone());
         let _flight = slot.choice.server.begin();
         let started = self.ingress.clock.now();
@@ -413,6 +419,8 @@
                 match (reason, &server.connections) {
                     (NotRun::Leaving, Some(connections)) => connections.mark_leaving(),
                     (NotRun::Failing | NotRun::Misdirected, _) => server.record_gate(true),
+                    (NotRun::Evacuated, _) => self.exclude_zone_of(server),
+                    (NotRun::Cold, _) => server.record_cold_refusal(),
                     _ => {}
                 }
                 AttemptResult::Ended(attempt_end(reason), Some(reason))
@@ -442,13 +450,14 @@
         }
     }
 
-    /// Sends the evidence of an egress and the service time to the control loop.
+    /// Sends the evidence of an egress and the service time to the control loop. The
+    /// service times of a cold server say nothing about the usual ones.
     fn report_evidence(&self, server: &ServerState, report: &EgressReport, service: Duration) {
         self.ingress.control.try_send(ControlEvent::Reported {
             service: self.pool.service.id.clone(),
             server: server.backend.id.clone(),
             counts: report.load.counts,
-            service_time: (!service.is_zero()).then_some(service),
+            service_time: (!service.is_zero() && !server.is_cold()).then_some(service),
         });
     }
 
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -8,11 +8,12 @@
     SearchReach, ServerNotice, SlotSearch,
 };
 use ids::{VmId, Weight};
+use route::AttemptId;
 
 use super::{RequestAttempt, canary::CanaryGuard, lock};
 use crate::{
     hop::SearchChannel,
-    pool::{ChoiceOptions, ServerChoice},
+    pool::{ChoiceOptions, ServerChoice, ServerState},
     wire::NotRun,
 };
 
@@ -136,7 +137,11 @@
                                 offers.channel.withdraw(&vm, id);
                             }
                         }
-                        SearchAction::RecordSilent(id) => self.record_silence(id),
+                        SearchAction::RecordSilent(id) => {
+                            if self.record_silence(id) {
+                                events.push_back(SearchEvent::Abandoned(id));
+                            }
+                        }
                         SearchAction::Commit(id, incarnation) => {
                             offers.remove(id);
                             if let Some(choice) = self.offers.remove(&id) {
@@ -194,8 +199,9 @@
     /// false if there is none.
     fn make_offer(&mut self, offers: &mut OpenOffers, id: OfferId, limits: OfferLimits) -> bool {
         let view = &self.ingress.view;
+        let scope = lock(&self.source.scope).clone();
         let canary = match limits.may_canary {
-            true => self.pool.choose_canary(view),
+            true => self.pool.choose_canary(view, &scope),
             false => None,
         };
         let is_canary = canary.is_some();
@@ -209,10 +215,12 @@
                     idempotent: self.options().idempotent,
                     reach: limits.reach,
                     zone_penalty: self.zone_patience(),
+                    last_resort: limits.may_force,
+                    avoids_cold: self.refused_cold,
                 };
                 let mut tried = self.asked.clone();
                 tried.extend(lock(&self.source.committed_to).iter().cloned());
-                let chosen = self.pool.choose(view, &tried, options);
+                let chosen = self.pool.choose(view, &scope, &tried, options);
                 // A server that is considered failing may be chosen although it
                 // was tried before, so a second forced offer could repeat the
                 // first.
@@ -227,6 +235,7 @@
         if is_canary {
             self.canary = Some(CanaryGuard::new(self.ingress, &choice.server));
         }
+        choice.server.record_offer();
         self.asked.push(choice.server.backend.id.clone());
         let vm = choice.server.backend.vm.clone();
         let notice = choice.server.notice();
@@ -252,6 +261,8 @@
     /// Builds the properties of the request that the egress needs.
     fn build_job(&self, choice: &ServerChoice) -> OfferJob {
         let options = self.options();
+        let is_first_search = self.stall.0 == AttemptId(0);
+        let is_first = is_first_search && self.asked.first() == Some(&choice.server.backend.id);
         let account = options.account.as_ref();
         let remaining = self.ingress.clock.until(options.deadline);
         OfferJob {
@@ -261,6 +272,8 @@
             weight: account.map_or(Weight(1), |account| account.weight),
             rank: options.rank,
             work_priority: options.work_priority,
+            kind: options.kind,
+            first_offer: is_first,
             internal: options.internal,
             bulk: options.bulk,
             idempotent: options.idempotent,
@@ -292,9 +305,17 @@
             OfferReply::Waiting(load) => choice.server.record_load(load, 0),
             OfferReply::Refused(reason, load) => {
                 choice.server.record_load(load, 0);
+                if *reason == NotRun::Evacuated {
+                    // The wait there says nothing about when a retry may succeed.
+                    return self.exclude_zone_of(&choice.server);
+                }
                 match (reason, &choice.server.connections) {
                     (NotRun::Leaving, Some(connections)) => connections.mark_leaving(),
                     (NotRun::Failing | NotRun::Misdirected, _) => choice.server.record_gate(true),
+                    (NotRun::Cold, _) => {
+                        choice.server.record_cold_refusal();
+                        self.refused_cold = true;
+                    }
                     _ => {}
                 }
                 let wait = Duration::from_micros(load.delay_us);
@@ -308,13 +329,27 @@
         }
     }
 
-    /// Records that the daemon on the VM of a server does not reply.
-    fn record_silence(&self, id: OfferId) {
-        if let Some(choice) = self.offers.get(&id) {
-            let trace = &self.options().trace;
-            trace.record_step(&choice.server.backend.id, "silent");
-            choice.server.record_silence();
-            self.report_unreachable(&choice.server);
+    /// Keeps the request from the zone of a server whose daemon reports that the zone
+    /// is evacuated.
+    pub(super) fn exclude_zone_of(&self, server: &ServerState) {
+        let table = self.ingress.view.table();
+        if let Some(zone) = table.zone_of(&server.backend.vm) {
+            lock(&self.source.scope).exclude_zone(&zone.id);
         }
     }
+
+    /// Records that the daemon on the VM of a server does not reply. Returns whether the
+    /// offer is not to be waited for, because the daemon is gone.
+    fn record_silence(&self, id: OfferId) -> bool {
+        let Some(choice) = self.offers.get(&id) else {
+            return false;
+        };
+        let trace = &self.options().trace;
+        trace.record_step(&choice.server.backend.id, "silent");
+        choice.server.record_silence();
+        self.report_unreachable(&choice.server);
+        let scope = lock(&self.source.scope).clone();
+        self.pool
+            .is_gone(&self.ingress.view, &scope, &choice.server)
+    }
 }
--- a/crates/serve/src/control/mod.rs
+++ b/crates/serve/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod adopt;
 mod detect;
 mod dump;
+mod evacuation;
 mod event;
 mod follow;
 mod peers;
@@ -45,7 +46,7 @@
 };
 use adopt::ConfigSource;
 use detect::DetectorSet;
-use pull::pull_from;
+use evacuation::EvacuationReport;
 
 /// Interval between checks for connections that have been idle for too long.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
@@ -92,6 +93,7 @@
     limits: LimitNode,
     gossip: GossipNode,
     detectors: DetectorSet,
+    evacuations: EvacuationReport,
     /// Requests that wait for a token.
     pending_takes: FastMap<TakeId, (AccountId, TakeReply)>,
     next_take: u64,
@@ -135,6 +137,7 @@
             limits: LimitNode::new(vm, now, u64::from(rand::random::<u32>())),
             gossip,
             detectors,
+            evacuations: EvacuationReport::default(),
             pending_takes: FastMap::default(),
             next_take: 0,
             kept_deltas: VecDeque::new(),
@@ -201,12 +204,14 @@
             self.last_sweep = now;
             self.parts.pools.sweep_idle();
             self.parts.egress.sweep_idle();
+            self.report_used_services();
         }
         self.handle_limit_event(LimitEvent::Tick);
         self.detectors.tick(now);
         self.handle_gossip_event(GossipEvent::Tick);
         let contact = self.has_contact(now);
         let freshness = self.gossip.freshness(now, contact);
+        self.parts.egress.tick(freshness == Freshness::Fresh);
         let refuse = self.parts.settings.load().policy.refuse_isolated;
         self.parts
             .view
@@ -267,18 +272,17 @@
                 server,
                 counts,
                 closed,
+                rejected,
                 ingresses,
             } => {
+                let evidence = PeerMessage::Evidence {
+                    server,
+                    counts,
+                    closed,
+                    rejected,
+                };
                 for to in ingresses {
-                    let server = server.clone();
-                    self.parts.socket.send(
-                        &to,
-                        PeerMessage::Evidence {
-                            server,
-                            counts,
-                            closed,
-                        },
-                    );
+                    self.parts.socket.send(&to, evidence.clone());
                 }
             }
             ControlEvent::ConfigRead { table, deltas } => {
@@ -352,11 +356,14 @@
                 server,
                 counts,
                 closed,
+                rejected,
             } => {
                 let table = self.parts.view.table();
                 let service = table.server(&server).map(|backend| backend.service.clone());
                 if let Some(service) = service {
-                    self.parts.pools.record_gate(&service, &server, closed);
+                    self.parts
+                        .pools
+                        .record_announced(&service, &server, closed, rejected);
                     let now = self.now();
                     self.detectors
                         .handle(now, &service, HealthEvent::Reported(server, counts));
@@ -432,16 +439,4 @@
             is_reader: Arc::clone(&self.is_reader),
         }
     }
-
-    /// Starts a task that fetches newer revisions from a peer.
-    fn start_pull(&self, from: &VmId) {
-        let Some(connections) = self.parts.pools.peer_connections(from) else {
-            return;
-        };
-        let request = self.pull_request();
-        let seal = self.parts.seal.clone();
-        let sender = self.parts.sender.clone();
-        self.tasks
-            .spawn(pull_from(connections, seal, request, sender));
-    }
 }
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     admin::AdminHandler,
+    caller::{CallerFront, LimitSource},
     clock::MonoClock,
     control::{
         ControlLoop, ControlParts, PeerSender, PeerSocket, PlatformWatcher, bind_datagrams,
@@ -28,10 +29,10 @@
     hop::HopTransport,
     ingress::Ingress,
     keepalive::KEEPALIVE_INTERVAL,
-    listener::{HttpListener, ListenerLimits},
+    listener::{HttpListener, ListenerLimits, MAX_HEAD_FIELDS},
     metrics::MetricSet,
     peer::PeerHandler,
-    pool::PoolTable,
+    pool::{HomeShortages, PoolTable},
     probe::probe_all,
     settings::{LiveSettings, Settings},
     task::{StopSource, TaskGroup},
@@ -177,6 +178,7 @@
         let caller_limits = ListenerLimits {
             connections: budgets.connections,
             head_bytes: budgets.head_bytes,
+            head_fields: MAX_HEAD_FIELDS,
             head_timeout: budgets.head_timeout(),
             keepalive: CALLER_KEEPALIVE,
             write_timeout: budgets.stall_timeout(),
@@ -184,8 +186,8 @@
         };
         let peer_limits = ListenerLimits {
             connections: MAX_PEER_CONNECTIONS,
-            // The head of an attempt holds metadata beside the caller's head.
-            head_bytes: budgets.head_bytes + 8_192,
+            head_bytes: budgets.head_bytes,
+            head_fields: MAX_HEAD_FIELDS,
             head_timeout: PEER_IDLE_TIMEOUT,
             keepalive: KEEPALIVE_INTERVAL,
             write_timeout: budgets.stall_timeout() * UNREAD_FACTOR,
@@ -245,7 +247,8 @@
             clock,
             Arc::clone(&connections),
             control.clone(),
-            settings.budgets.stall_timeout(),
+            Arc::clone(&live_settings),
+            Arc::clone(&metrics),
             Arc::clone(&codec),
         ));
         let seal = HeaderSeal::new(settings.secret_bytes());
@@ -271,10 +274,15 @@
             metrics: Arc::clone(&metrics),
             limiter: RateLimiter::new(clock, control.clone()),
             control: control.clone(),
+            shortages: HomeShortages::default(),
             priority_hasher: RandomState::new(),
             answer_lines: LineLimiter::new(Ingress::ANSWER_LINES_PER_S),
             failure_lines: LineLimiter::new(Ingress::FAILURE_LINES_PER_S),
         });
+        let limits = LimitSource {
+            view: Arc::clone(&view),
+            settings: Arc::clone(&live_settings),
+        };
         let handler = Arc::new(PeerHandler {
             egress: Arc::clone(&egress),
             seal: seal.clone(),
@@ -290,6 +298,9 @@
             clock,
             control: control.clone(),
         });
+        let front = Arc::new(CallerFront::new(ingress, limits.clone()));
+        let mut callers = self.ingress;
+        callers.watch(Arc::clone(&front.crowd));
         let is_reader = Arc::new(AtomicBool::new(true));
         let watcher = PlatformWatcher {
             view: Arc::clone(&view),
@@ -314,18 +325,16 @@
         let stops = [(); 3].map(|()| StopSource::default());
         let groups = [(); 3].map(|()| TaskGroup::new());
         let accepted = [(); 3].map(|()| Arc::new(TaskGroup::new()));
-        groups[0].spawn(self.ingress.run(
-            move |request| {
-                let ingress = Arc::clone(&ingress);
-                async move { ingress.serve(request).await }
-            },
+        groups[0].spawn(callers.run_with(
+            move |stream, stop| Arc::clone(&front).serve(stream, stop),
             stops[0].signal(),
             Arc::clone(&accepted[0]),
         ));
-        groups[1].spawn(self.peer.run(
-            move |request| {
-                let handler = Arc::clone(&handler);
-                async move { handler.serve(request).await }
+        let peer_limits = self.peer.limits();
+        groups[1].spawn(self.peer.run_with(
+            move |stream, stop| {
+                let limits = limits.for_peers(peer_limits);
+                Arc::clone(&handler).serve_connection(stream, limits, stop)
             },
             stops[1].signal(),
             Arc::clone(&accepted[1]),
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use admit::QueueEvent;
+use admit::{ColdEvent, QueueEvent};
 use health::{Outcome, STUCK_FACTOR};
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Body, header::HeaderValue};
@@ -61,12 +61,13 @@
                         };
                         self.forward_answer(response, limits, service, overdue, held)
                     }
-                    AnswerKind::NotRun(reason) => self.handle_rejection(reason),
+                    AnswerKind::NotRun(reason) => self.handle_rejection(reason, held),
                     AnswerKind::Foreign => {
                         log::warn!(
                             "egress: {} sent an answer to another request; it is discarded.",
                             self.id
                         );
+                        held.ticket.aborted = true;
                         self.record_outcome(Outcome::Broken);
                         self.record_failure(overdue);
                         self.without_answer(EgressOutcome::Lost)
@@ -79,15 +80,17 @@
             }
             Some(Err(SendError::Withheld)) => {
                 held.ticket.sent = false;
-                self.not_run(NotRun::Leaving)
+                self.not_run(self.withdrawal().unwrap_or(NotRun::Leaving))
             }
             Some(Err(SendError::Unsent(_))) => {
                 held.ticket.sent = false;
+                self.handle_cold(ColdEvent::Unreachable);
                 self.record_outcome(Outcome::Lost);
                 self.record_failure(overdue);
                 self.not_run(NotRun::Unreachable)
             }
             Some(Err(SendError::Lost(cause))) => {
+                held.ticket.aborted = true;
                 self.log_lost(request_id.as_ref(), attempt, &cause, service);
                 self.record_outcome(Outcome::Lost);
                 self.record_failure(overdue);
@@ -112,14 +115,21 @@
         let started = self.clock.now();
         // The server may have begun to leave while the request was on its way or
         // waited for a connection.
-        let sent = self.connections.send_if(request, || !self.is_withdrawn());
+        let sent = self
+            .connections
+            .send_if(request, || self.withdrawal().is_none());
         tokio::pin!(sent);
         // Times at which the request counts as slow and then as stuck. The next
         // one is last.
-        let mut limits = match slow_limit.is_zero() {
-            true => Vec::new(),
-            false => vec![started + slow_limit * STUCK_FACTOR, started + slow_limit],
+        let limits_at = |factor: u32| match slow_limit.saturating_mul(factor) {
+            Duration::ZERO => Vec::new(),
+            limit => vec![
+                started + limit.saturating_mul(STUCK_FACTOR),
+                started + limit,
+            ],
         };
+        let mut factor = self.slow_factor();
+        let mut limits = limits_at(factor);
         let mut overdue = false;
         loop {
             let wake = limits.last().map_or(deadline, |limit| deadline.min(*limit));
@@ -129,9 +139,19 @@
                     if self.clock.now() >= deadline {
                         return (None, overdue);
                     }
-                    limits.pop();
-                    self.record_overdue(overdue);
-                    overdue = true;
+                    match self.slow_factor() {
+                        // The server is known to be cold since the request was sent.
+                        later if later > factor => {
+                            factor = later;
+                            limits = limits_at(factor);
+                            limits.truncate(if overdue { 1 } else { 2 });
+                        }
+                        _ => {
+                            limits.pop();
+                            self.record_overdue(overdue);
+                            overdue = true;
+                        }
+                    }
                 }
             }
         }
@@ -156,9 +176,14 @@
 
     /// Records that the backend server reports not to have run a request, and
     /// returns the result.
-    fn handle_rejection(&self, reason: NotRun) -> EgressAnswer {
+    fn handle_rejection(&self, reason: NotRun, mut held: HeldSlot) -> EgressAnswer {
+        held.ticket.aborted = true;
         match reason {
-            NotRun::Shedding => self.record_outcome(Outcome::Rejected),
+            NotRun::Shedding => {
+                held.pass.rejected = true;
+                self.record_outcome(Outcome::Rejected);
+                self.record_acceptance(true);
+            }
             NotRun::Misdirected => self.record_replaced(),
             _ => {}
         }
@@ -217,6 +242,7 @@
         let failed = head.status.is_server_error() && shed.is_none();
         let explained = failed && self.is_explained(service);
         let response = Response::from_parts(head, body);
+        self.record_acceptance(false);
         held.pass.good = !failed && !overdue;
         match failed {
             true if explained => {}
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -1,7 +1,9 @@
 //! The egress: queues offers for the backend servers of this VM and runs the
 //! requests that are committed to them.
 
+mod cold;
 mod dispatch;
+mod evacuation;
 mod notice;
 mod probed;
 mod server;
@@ -28,7 +30,7 @@
 use tokio::sync::{Notify, oneshot};
 
 pub use self::probed::ProbedServer;
-use self::{notice::NoticeSource, server::EgressServer, slot::HeldSlot};
+use self::{cold::ColdState, notice::NoticeSource, server::EgressServer, slot::HeldSlot};
 use crate::{
     body::ProxyBody,
     clock::MonoClock,
@@ -39,6 +41,8 @@
     hop::HopTransport,
     ledger::StreamMeter,
     link::ConnectionPool,
+    metrics::MetricSet,
+    settings::LiveSettings,
     task::TaskGroup,
     view::FleetView,
     wire::{Attempt, EgressOutcome, EgressReport, NotRun},
@@ -73,11 +77,17 @@
     tasks: Arc<TaskGroup>,
     servers: ArcSwap<FastMap<ServerId, Arc<EgressServer>>>,
     draining: AtomicBool,
+    /// Whether the zone of this VM was evacuated in the last table that was applied.
+    evacuated: AtomicBool,
     incarnation: EgressIncarnation,
     control: ControlSender,
+    settings: LiveSettings,
+    metrics: Arc<MetricSet>,
     stall_timeout: Duration,
     codec: Arc<dyn EdgeCodec>,
     offers: Mutex<EgressOffers>,
+    /// Time of the latest tick, by which a suspension of the process is noticed.
+    last_tick: AtomicU64,
     /// Failed calls that requests on this VM made to other services.
     calls: Arc<Mutex<FailedCalls>>,
 }
@@ -90,21 +100,28 @@
         clock: MonoClock,
         tasks: Arc<TaskGroup>,
         control: ControlSender,
-        stall_timeout: Duration,
+        settings: LiveSettings,
+        metrics: Arc<MetricSet>,
         codec: Arc<dyn EdgeCodec>,
     ) -> Self {
         let incarnation = EgressIncarnation(rand::random());
+        let stall_timeout = settings.load().budgets.stall_timeout();
+        let last_tick = AtomicU64::new(clock.now().as_nanos());
         Self {
             view,
             clock,
             tasks,
             servers: ArcSwap::default(),
             draining: AtomicBool::new(false),
+            evacuated: AtomicBool::new(false),
             incarnation,
             control,
+            settings,
+            metrics,
             stall_timeout,
             codec,
             offers: Mutex::new(OfferTable::new(incarnation)),
+            last_tick,
             calls: Arc::default(),
         }
     }
@@ -227,12 +244,14 @@
         waiting: impl FnOnce(),
     ) -> Result<HeldSlot, NotRun> {
         let deadline = self.clock.now() + job.remaining();
+        self.check_evacuation()?;
         if server.is_replaced() {
             return Err(NotRun::Misdirected);
         }
         if server.refuses_early(job) {
             return Err(NotRun::Failing);
         }
+        let cold = self.reserve_cold(server)?;
         let acquired = server.acquire(job, deadline);
         tokio::pin!(acquired);
         let ticket = tokio::select! {
@@ -243,15 +262,17 @@
                 acquired.await
             }
         };
-        let ticket = ticket.map_err(not_run_of)?;
-        // The key may have been withdrawn, or the server may have begun to
-        // fail, while the request waited.
+        let ticket = ticket.map_err(|refusal| self.refusal_reason(refusal))?;
+        // The zone may have been evacuated, the key withdrawn, or the server may
+        // have begun to fail or become cold, while the request waited.
+        self.check_evacuation()?;
         match job.key {
-            Some(digest) if !self.view.table().has_key(&digest) => return Err(NotRun::Withdrawn),
+            Some(key) if self.view.table().has_withdrawn(&key) => return Err(NotRun::Withdrawn),
             _ => {}
         }
+        let cold = self.renew_cold(cold)?;
         let pass = server.pass_gate(job)?;
-        Ok(HeldSlot { ticket, pass })
+        Ok(HeldSlot { ticket, pass, cold })
     }
 
     /// Runs a request whose offer holds a slot, or returns why it did not run.
@@ -264,13 +285,22 @@
             return misdirected();
         };
         match committed {
-            Ok(held) => {
-                let answer = server.dispatch(attempt, request, deadline, held).await;
-                if attempt.from != self.view.vm {
-                    self.offers().record_answer(&key);
+            // The slot is released. The grant may be older than the evacuation.
+            Ok(_) if self.is_evacuated() => server.not_run(NotRun::Evacuated),
+            Ok(mut held) => match self.send_cold(&mut held.cold) {
+                Ok(()) => {
+                    let answer = server.dispatch(attempt, request, deadline, held).await;
+                    if attempt.from != self.view.vm {
+                        self.offers().record_answer(&key);
+                    }
+                    answer
                 }
-                answer
-            }
+                Err(reason) => {
+                    // Releases the slot before the load is reported.
+                    drop(held);
+                    server.not_run(reason)
+                }
+            },
             // The request arrived twice, and the other copy runs.
             Err(OfferStatus::Committed) => server.without_answer(EgressOutcome::Lost),
             Err(_) => server.not_run(NotRun::Lapsed),
@@ -302,17 +332,21 @@
         }
     }
 
-    /// Applies a new configuration: changed slots, and servers that were
-    /// removed or have returned.
+    /// Applies a new configuration: changed slots, servers that were removed or
+    /// have returned, and an evacuation, which refuses what waits.
     pub fn apply_table(&self) {
         let table = self.view.table();
+        let evacuated = self.is_evacuated();
+        self.log_evacuation(evacuated);
         for (id, server) in self.servers.load().iter() {
             match table.server(id) {
                 Some(backend) if backend.vm == self.view.vm => {
                     server.unlisted.store(false, Ordering::Release);
+                    server.evacuated.store(evacuated, Ordering::Release);
                     server.resize(backend.slots);
+                    self.apply_cold(server, &backend);
                     // An earlier configuration may have lacked the server.
-                    match self.is_draining() || server.is_leaving() {
+                    match self.is_draining() || server.is_leaving() || evacuated {
                         true => server.handle(QueueEvent::Drain),
                         false => server.handle(QueueEvent::Resume),
                     }
@@ -382,6 +416,8 @@
             return Some(Arc::clone(server));
         }
         let created = Arc::new(self.make_server(&backend));
+        self.apply_cold(&created, &backend);
+        self.begin_cold(&created);
         self.servers.rcu(|servers| {
             let mut servers = FastMap::clone(servers);
             match servers.get(id) {
@@ -405,6 +441,7 @@
         EgressServer {
             slots: AtomicU64::new(u64::from(backend.slots.get())),
             unlisted: AtomicBool::new(false),
+            evacuated: AtomicBool::new(self.is_evacuated()),
             connections: ConnectionPool::new(
                 backend.address,
                 limit,
@@ -416,12 +453,15 @@
                 queue,
                 waiters: FastMap::default(),
                 next_job: 0,
+                owed_logged_at: None,
             }),
             tick_lock: tokio::sync::Mutex::default(),
             tick_changed: Notify::new(),
             id: backend.id.clone(),
             codec: Arc::clone(&self.codec),
+            cold: ColdState::default(),
             gate: Mutex::default(),
+            rejections: Mutex::default(),
             notice: Mutex::default(),
             calls: Arc::clone(&self.calls),
             evidence: ServerEvidence::new(self.incarnation.0),
@@ -432,22 +472,6 @@
             loaded_until: AtomicU64::new(0),
         }
     }
-
-    /// Returns the backend servers that were used, with the rules of their
-    /// services.
-    pub fn probed_servers(&self) -> Vec<ProbedServer> {
-        let table = self.view.table();
-        let servers = self.servers.load();
-        let probed = |(id, server): (&ServerId, &Arc<EgressServer>)| {
-            let backend = table.server(id)?;
-            let service = Arc::clone(table.service(&backend.service)?);
-            Some(ProbedServer {
-                server: Arc::clone(server),
-                service,
-            })
-        };
-        servers.iter().filter_map(probed).collect()
-    }
 }
 
 /// Locks the failed calls, whose holders never panic.
--- a/crates/serve/src/egress/probed.rs
+++ b/crates/serve/src/egress/probed.rs
@@ -5,10 +5,12 @@
     time::Duration,
 };
 
+use admit::ColdEvent;
 use config::Service;
-use ids::MonoTime;
+use hyper::HeaderMap;
+use ids::{MonoTime, ServerId};
 
-use super::server::EgressServer;
+use super::{EgressHub, server::EgressServer};
 use crate::link::ConnectionPool;
 
 /// Time for which a report of full load from a load endpoint counts.
@@ -31,10 +33,25 @@
     /// Records that nothing listens at the server's address, which counts as a
     /// failure.
     pub fn record_refused(&self) {
+        self.server.handle_cold(ColdEvent::Unreachable);
         self.server.evidence.set_unhealthy(true);
         self.server.record_failure(false);
     }
 
+    /// Counts a probe that is sent now, and returns whether it may be: a cold server
+    /// takes only its rate.
+    pub fn count_probe(&self) -> bool {
+        self.server.count_cold(false)
+    }
+
+    /// Records for how long the server stays cold, if an answer of its health endpoint
+    /// says so.
+    pub fn record_cold(&self, headers: &HeaderMap) {
+        if let Some(left) = self.server.codec.read_cold(headers) {
+            self.server.handle_cold(ColdEvent::Answered(left));
+        }
+    }
+
     /// Records the state that the server's health endpoint reported. Notifies
     /// recent ingresses if the server is unhealthy or the state has changed.
     pub fn record_health(&self, healthy: bool) {
@@ -53,3 +70,25 @@
         self.server.loaded_until.store(until, Ordering::Relaxed);
     }
 }
+
+impl EgressHub {
+    /// Returns the backend servers that were used, with the rules of their
+    /// services; none while the zone is evacuated, because nothing may reach them
+    /// then.
+    pub fn probed_servers(&self) -> Vec<ProbedServer> {
+        if self.is_evacuated() {
+            return Vec::new();
+        }
+        let table = self.view.table();
+        let servers = self.servers.load();
+        let probed = |(id, server): (&ServerId, &Arc<EgressServer>)| {
+            let backend = table.server(id)?;
+            let service = Arc::clone(table.service(&backend.service)?);
+            Some(ProbedServer {
+                server: Arc::clone(server),
+                service,
+            })
+        };
+        servers.iter().filter_map(probed).collect()
+    }
+}
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -9,15 +9,16 @@
     time::Duration,
 };
 
-use admit::{Job, JobId, QueueEvent, QueueRefusal};
+use admit::{Job, JobId, QueueEvent, QueueRefusal, WorkKind};
 use config::Backend;
-use health::{FailedCalls, GateDecision, Outcome, ServerGate};
+use health::{FailedCalls, GateDecision, Outcome, RejectionShare, ServerGate};
 use hop::{OfferJob, ServerLoad};
-use ids::{MonoTime, ServerId, Slots};
+use ids::{MonoTime, Percent, ServerId, Slots};
 use tokio::sync::{Notify, oneshot};
 
 use super::{
     EgressAnswer,
+    cold::ColdState,
     notice::KnownNotice,
     slot::{GatePass, SlotTicket},
 };
@@ -40,6 +41,9 @@
 /// request is refused.
 const LOADED_DELAY: Duration = Duration::from_millis(20);
 
+/// Least time between log lines about kinds of requests that are hardly served.
+const OWED_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Decision of the queue on a waiting job.
 type JobDecision = Result<Result<(), QueueRefusal>, oneshot::error::RecvError>;
 /// Receives the decision on a waiting job.
@@ -51,6 +55,8 @@
     pub(super) slots: AtomicU64,
     /// Whether the table in force no longer lists the server.
     pub(super) unlisted: AtomicBool,
+    /// Whether the table in force evacuates the zone of this VM.
+    pub(super) evacuated: AtomicBool,
     pub(super) connections: Arc<ConnectionPool>,
     pub(super) clock: MonoClock,
     pub(super) state: Mutex<QueueState>,
@@ -61,7 +67,11 @@
     pub(super) evidence: ServerEvidence,
     pub(super) id: ServerId,
     pub(super) codec: Arc<dyn EdgeCodec>,
+    /// Whether the server is cold, and what it may be sent.
+    pub(super) cold: ColdState,
     pub(super) gate: Mutex<ServerGate>,
+    /// Share of recent requests that the server rejected.
+    pub(super) rejections: Mutex<RejectionShare>,
     /// What the server says about itself.
     pub(super) notice: Mutex<KnownNotice>,
     /// Failed calls that requests on this VM made to other services.
@@ -118,6 +128,7 @@
                 server: Arc::clone(self),
                 trial: decision == GateDecision::Trial,
                 good: false,
+                rejected: false,
             }),
         }
     }
@@ -166,6 +177,38 @@
             .unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Counts a request that the server accepted or rejected. Logs when the server
+    /// begins or ceases to reject, and tells recent ingresses of a server that rejects
+    /// nearly everything.
+    pub(super) fn record_acceptance(&self, rejected: bool) {
+        let now = self.clock.now();
+        let change = self.lock_rejections().record(now, rejected);
+        if let Some(rejecting) = change.rejecting {
+            let state = if rejecting { "rejecting" } else { "accepting" };
+            log::info!(
+                server = self.id.as_str(),
+                state = state,
+                rejected = self.rejected_share().to_string().as_str();
+                "egress: the backend server rejects another share of its requests."
+            );
+        }
+        if change.announce {
+            self.notify_ingresses();
+        }
+    }
+
+    /// Returns the share of recent requests that the server rejected.
+    fn rejected_share(&self) -> Percent {
+        self.lock_rejections().share(self.clock.now())
+    }
+
+    /// Locks the share of rejections, whose holders never panic.
+    fn lock_rejections(&self) -> MutexGuard<'_, RejectionShare> {
+        self.rejections
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// Locks the notice, whose holders never panic.
     pub(super) fn known_notice(&self) -> MutexGuard<'_, KnownNotice> {
         self.notice
@@ -234,6 +277,9 @@
             rank: offered.rank,
             work_priority: offered.work_priority,
             account: offered.account.clone(),
+            kind: WorkKind(offered.kind),
+            first_offer: offered.first_offer,
+            idempotent: offered.idempotent,
             internal: offered.internal,
             bulk: offered.bulk,
             weight: offered.weight,
@@ -241,15 +287,36 @@
             deadline,
         };
         state.handle(self.clock.now(), QueueEvent::Arrive(job));
+        self.log_owed(&mut state);
         drop(state);
         let ticket = SlotTicket {
             server: Arc::clone(self),
             id,
             sent: false,
+            aborted: false,
         };
         (ticket, decision)
     }
 
+    /// Logs that kinds of requests get less than their least share and go first, at most
+    /// once in [`OWED_LOG_INTERVAL`].
+    fn log_owed(&self, state: &mut QueueState) {
+        let now = self.clock.now();
+        let report = state.queue.report(now);
+        let due = state
+            .owed_logged_at
+            .is_none_or(|at| now.since(at) >= OWED_LOG_INTERVAL);
+        if report.owed > 0 && due {
+            state.owed_logged_at = Some(now);
+            log::info!(
+                server = self.id.as_str(),
+                kinds = report.owed,
+                waiting = report.waiting;
+                "egress: some kinds of requests are hardly served; their next ones go first."
+            );
+        }
+    }
+
     /// Counts a failure, unless the request was already counted as slow, and
     /// notifies recent ingresses.
     pub(super) fn record_failure(&self, overdue: bool) {
@@ -268,6 +335,7 @@
                 server: self.id.clone(),
                 counts: self.evidence.counts(),
                 closed: self.gate().is_closed(self.clock.now()),
+                rejected: self.rejected_share(),
                 ingresses,
             });
         }
@@ -301,11 +369,13 @@
         let load = self.lock().queue.report(now);
         let loaded = now.as_nanos() < self.loaded_until.load(Ordering::Relaxed);
         let extra = if loaded { LOADED_DELAY } else { Duration::ZERO };
+        let delay = load.delay.max(self.cold_wait(now));
         ServerLoad {
             running: load.running,
-            delay_us: (load.delay + extra).as_micros() as u64,
+            delay_us: (delay + extra).as_micros() as u64,
             counts: self.evidence.counts(),
             closed: self.gate().is_closed(now),
+            rejected: self.rejected_share(),
         }
     }
 
--- a/crates/serve/src/egress/slot.rs
+++ b/crates/serve/src/egress/slot.rs
@@ -5,7 +5,7 @@
 
 use admit::{JobId, QueueEvent};
 
-use super::server::EgressServer;
+use super::{cold::ColdPass, server::EgressServer};
 
 /// Permission of the gate to send one request to a backend server.
 #[derive(Debug)]
@@ -15,13 +15,18 @@
     pub(super) trial: bool,
     /// Whether the request got a good answer.
     pub(super) good: bool,
+    /// Whether the server rejected the request, which decides no trial.
+    pub(super) rejected: bool,
 }
 
 impl Drop for GatePass {
     fn drop(&mut self) {
         if self.trial {
             let now = self.server.clock.now();
-            self.server.gate().end_trial(now, self.good);
+            match self.rejected {
+                true => self.server.gate().abandon_trial(now),
+                false => self.server.gate().end_trial(now, self.good),
+            }
         }
     }
 }
@@ -31,6 +36,7 @@
 pub(super) struct HeldSlot {
     pub(super) ticket: SlotTicket,
     pub(super) pass: GatePass,
+    pub(super) cold: ColdPass,
 }
 
 /// Place in the queue or slot of a job, which is released on drop.
@@ -40,6 +46,8 @@
     pub(super) id: JobId,
     /// Whether the request was sent to the backend server, or may have been.
     pub(super) sent: bool,
+    /// Whether the request ended without an answer before its deadline.
+    pub(super) aborted: bool,
 }
 
 impl Drop for SlotTicket {
@@ -48,6 +56,7 @@
         let mut state = self.server.lock();
         state.waiters.remove(&self.id);
         let event = match state.queue.is_running(self.id) {
+            true if self.sent && self.aborted => QueueEvent::Abort(self.id),
             true if self.sent => QueueEvent::Finish(self.id),
             true => QueueEvent::Release(self.id),
             false => QueueEvent::Cancel(self.id),
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -12,28 +12,30 @@
 };
 
 use bytes::Bytes;
-use config::{Access, Account, KeyDigest, KeyHasher, Route, TrafficClass};
+use config::{Access, Account, CheckedKey, KeyHasher, Route, TrafficClass};
 use hyper::{
-    Request, Response,
+    Method, Request, Response, Uri,
     body::Body,
     header::{CONNECTION, HOST, HeaderValue},
-    http::request::Parts,
+    http::{request::Parts, uri::Authority},
 };
 use ids::{Rank, ServiceId, WorkPriority};
+use route::{HomeRegions, RequestScope};
 
 use crate::{
     answer::Refusal,
     body::{
         BufferedBody, DeadlineBody, PrefixedBody, ProxyBody, TimeoutBody, buffer_body, full_body,
     },
+    caller::{OverrunFlag, SizedBody},
     clock::MonoClock,
     control::ControlSender,
     edge::{CallerMetadata, EdgeCodec},
     egress::EgressHub,
-    gate::RateLimiter,
+    gate::{HeldToken, RateLimiter},
     hop::HopTransport,
     metrics::MetricSet,
-    pool::{PoolState, PoolTable},
+    pool::{HomeShortages, PoolState, PoolTable},
     run::{RequestRun, RunOptions},
     settings::LiveSettings,
     trail::{LineLimiter, RequestEnd, RequestTrace},
@@ -76,6 +78,8 @@
     pub limiter: RateLimiter,
     /// Passes observations of backend servers to the control loop.
     pub control: ControlSender,
+    /// Services without a backend server in the homes of requests.
+    pub shortages: HomeShortages,
     /// Hashes the ids of pieces of work to their priorities.
     pub priority_hasher: RandomState,
     /// Bounds the log lines of answered requests.
@@ -97,7 +101,9 @@
     route: Route,
     pool: Arc<PoolState>,
     /// Key and client account of the caller; `None` on an open route.
-    caller: Option<(KeyDigest, Arc<Account>)>,
+    caller: Option<(CheckedKey, Arc<Account>)>,
+    /// Regions that the request may be run in.
+    homes: HomeRegions,
 }
 
 impl RequestContext {
@@ -113,16 +119,20 @@
             .timeout
             .map_or(longest, |timeout| timeout.min(longest))
     }
+
+    /// Returns the maximum time until the answer of the caller has ended; `None` if
+    /// neither the caller nor the route limits it. The deadline of a service is
+    /// for the head of the answer.
+    fn body_timeout(&self, metadata: &CallerMetadata) -> Option<Duration> {
+        let timeout_ms = self.route.terms.timeout_ms;
+        let route = timeout_ms.map(|millis| Duration::from_millis(u64::from(millis)));
+        route.into_iter().chain(metadata.timeout).min()
+    }
 }
 
 impl Ingress {
     /// Answers a caller's request.
-    pub async fn serve<B>(self: &Arc<Self>, request: Request<B>) -> Response<ProxyBody>
-    where
-        B: Body<Data = Bytes> + Send + 'static,
-        B::Error: Into<crate::body::BodyError>,
-    {
-        let request = request.map(crate::body::box_body);
+    pub async fn serve(self: &Arc<Self>, request: Request<ProxyBody>) -> Response<ProxyBody> {
         let id = self.codec.request_id(request.headers());
         let id = id.and_then(|id| id.to_str().map(str::to_owned).ok());
         let id = id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
@@ -143,8 +153,8 @@
     }
 
     /// Whether the backend server on this VM may have made the request while it
-    /// ran another one. Such calls have no client account, and they occur only
-    /// on a VM that has a backend server.
+    /// ran another one. Such calls use open routes, and they occur only on a VM
+    /// that has a backend server.
     fn may_be_nested_call(&self, trace: &RequestTrace) -> bool {
         self.local_service.is_some() && trace.is_open()
     }
@@ -205,14 +215,24 @@
         let metadata = self.codec.read_caller(&mut head.headers);
         let context = self.authorize(&head, &metadata)?;
         let deadline = started + context.timeout_for(&metadata);
-        let body_deadline = metadata.timeout.map(|timeout| started + timeout);
+        let body_deadline = context.body_timeout(&metadata);
+        let body_deadline = body_deadline.map(|timeout| started + timeout);
         let account = context.caller.as_ref().map(|(_, account)| &account.id);
         let revision = self.view.table().revision().get();
-        trace.record_admission(&context.pool.service.id, account, revision);
-        let (body, replay) = self.buffer_small_body(body).await?;
+        let access = context.route.access;
+        trace.record_admission(&context.pool.service.id, account, access, revision);
+        let overrun = OverrunFlag::default();
+        let body = self.limit_body(body, &overrun)?;
+        let buffered = self.buffer_small_body(body).await;
+        let (body, replay) = buffered.map_err(|refusal| match overrun.is_set() {
+            true => Refusal::BodyTooLarge,
+            false => refusal,
+        })?;
         let token = match &context.caller {
-            Some((_, account)) => Some(self.limiter.take(&account.id).await?),
-            None => None,
+            Some((_, account)) if account.is_limited() => {
+                Some(self.limiter.take(&account.id).await?)
+            }
+            _ => None,
         };
         let route = &context.route;
         let account = context.caller.as_ref().map(|(_, account)| account);
@@ -220,12 +240,14 @@
             trace: Arc::clone(trace),
             rank: self.queue_rank(route, account),
             work_priority: self.work_priority(&trace.request_id),
+            homes: context.homes,
+            kind: work_kind(route, head.method.as_str()),
             max_attempts: route.terms.max_attempts,
             account: context
                 .caller
                 .as_ref()
                 .map(|(_, account)| Arc::clone(account)),
-            key: context.caller.as_ref().map(|(digest, _)| *digest),
+            key: context.caller.as_ref().map(|(key, _)| *key),
             internal: route.class == TrafficClass::Internal,
             bulk: route.bulk,
             idempotent: route::is_idempotent(head.method.as_str(), route.idempotent),
@@ -235,16 +257,18 @@
             deadline,
             body_deadline,
             started,
+            sent: token.as_ref().map(HeldToken::sent_mark).unwrap_or_default(),
         };
         let run = RequestRun::new(self, context.pool, head, body, replay, options);
         let result = run.finish().await;
         match (token, &result) {
-            // A request that certainly did not run costs no token.
-            (Some(token), Err(refusal)) if refusal.outcome() == "not-run" => drop(token),
-            (Some(token), _) => token.spend(),
-            (None, _) => {}
+            (Some(token), Err(refusal)) if refusal.outcome() == "not-run" => token.give_back(),
+            _ => {}
         }
-        let response = result?;
+        let response = result.map_err(|refusal| match refusal {
+            Refusal::Unknown(_) if overrun.is_set() => Refusal::BodyOverrun,
+            refusal => refusal,
+        })?;
         Ok(match body_deadline {
             Some(deadline) if !response.body().is_end_stream() => {
                 let deadline = self.clock.instant(deadline);
@@ -270,6 +294,8 @@
             .ok_or(Refusal::NoRoute)?;
         let caller = match route.access {
             Access::Open => None,
+            // Without accounts, there is no key that a caller could have.
+            Access::Keyed if !table.has_accounts() => None,
             Access::Keyed if self.view.is_isolated() => return Err(Refusal::Isolated),
             Access::Keyed => {
                 let digest = self
@@ -277,27 +303,56 @@
                     .digest(metadata.key.as_deref().ok_or(Refusal::BadKey)?);
                 let key = table.key(&digest).ok_or(Refusal::BadKey)?;
                 let account = table.account(&key.account).ok_or(Refusal::BadKey)?;
-                Some((digest, Arc::new(account)))
+                let checked = CheckedKey {
+                    digest,
+                    revision: table.revision(),
+                };
+                Some((checked, Arc::new(account)))
             }
         };
         let service = route.pick_service(rand::random());
         let pool = self.pools.pool(service).ok_or(Refusal::PoolDown)?;
+        let account = caller.as_ref().map(|(_, account)| account.homes.as_slice());
+        let homes = HomeRegions::new(&route.terms.homes, account.unwrap_or_default());
+        // Refused at once, before a token is taken and the body is read.
+        let scope = RequestScope::new(homes.clone());
+        let refusal = pool.scope_refusal(&self.view, &scope);
+        self.shortages
+            .record(&self.metrics, service, &homes, refusal.is_none());
+        if let Some(refusal) = refusal {
+            return Err(refusal);
+        }
         Ok(RequestContext {
             route,
             pool,
             caller,
+            homes,
         })
     }
 
+    /// Whether requests of a route may run more than once, which a request needs to
+    /// run before those that were sent before it are answered. `host` is its only
+    /// `Host` field.
+    pub fn may_run_ahead(&self, method: &Method, uri: &Uri, host: Option<&HeaderValue>) -> bool {
+        let host = match (uri.authority(), host) {
+            (Some(authority), _) => host_of(authority.as_str()),
+            (None, Some(host)) => host.to_str().ok().and_then(host_of),
+            (None, None) => None,
+        };
+        let table = self.view.table();
+        let route = host.and_then(|host| table.route(&host, uri.path()));
+        route.is_some_and(|route| route::is_idempotent(method.as_str(), route.idempotent))
+    }
+
     /// Returns the rank of a request among those that wait for a slot.
     ///
-    /// Requests without a client account on a VM with a backend server are
-    /// calls made by requests that already run and hold a slot elsewhere.
-    /// Therefore they go first.
+    /// Requests on open routes on a VM with a backend server are calls made by
+    /// requests that already run and hold a slot elsewhere. Therefore they go
+    /// first.
     fn queue_rank(&self, route: &Route, account: Option<&Arc<Account>>) -> Rank {
         match account {
             Some(account) => account.rank.unwrap_or(route.terms.rank),
-            None if self.local_service.is_some() => Rank(0),
+            None if self.local_service.is_some() && route.access == Access::Open => Rank(0),
             None => route.terms.rank,
         }
     }
@@ -315,6 +370,18 @@
         }
     }
 
+    /// Limits the size of a body, as the configuration demands.
+    fn limit_body(&self, body: ProxyBody, overrun: &OverrunFlag) -> Result<ProxyBody, Refusal> {
+        match self.view.limits().body_bytes {
+            Some(limit) if body.size_hint().lower() > limit => Err(Refusal::BodyTooLarge),
+            // A body of unknown length shows its size only while it is read.
+            Some(limit) if body.size_hint().exact().is_none() => {
+                Ok(SizedBody::new(body, limit, overrun.clone()).boxed_unsync())
+            }
+            _ => Ok(body),
+        }
+    }
+
     /// Buffers a small body so that it can be sent again. Returns the body to
     /// send, and its bytes if it was buffered completely.
     async fn buffer_small_body(
@@ -348,6 +415,13 @@
     }
 }
 
+/// Returns the kind of a request: a hash of its route and method that is the same in
+/// every daemon and not 0.
+fn work_kind(route: &Route, method: &str) -> u32 {
+    let route = ids::stable_pair_hash(ids::stable_hash(route.host.as_bytes()), &route.prefix);
+    (ids::stable_pair_hash(route, method) as u32).max(1)
+}
+
 /// Whether the caller gets a successful answer of a backend server.
 fn is_success(result: &Result<Response<ProxyBody>, Refusal>) -> bool {
     result
@@ -371,6 +445,11 @@
             }
         }
     };
-    let authority: hyper::http::uri::Authority = authority.parse().ok()?;
+    host_of(authority)
+}
+
+/// Returns the host of an authority in lower case and without a port.
+fn host_of(authority: &str) -> Option<String> {
+    let authority: Authority = authority.parse().ok()?;
     Some(authority.host().to_ascii_lowercase())
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -12,6 +12,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod caller;
 mod clock;
 mod control;
 mod daemon;
@@ -41,6 +42,7 @@
 mod write_limit;
 
 pub use answer::Refusal;
+pub use caller::{AheadHead, AheadLimits, AheadPlan, BegunRequest};
 pub use daemon::{Daemon, DaemonAddresses, DaemonBuilder, DaemonError};
 pub use edge::{
     AnswerKind, CallerMetadata, DefaultCodec, DispatchMetadata, EdgeCodec, shed_backoff,
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -31,6 +31,13 @@
     pub service: String,
 }
 
+/// Label of a metric by the reason why a connection was closed.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct CloseLabel {
+    /// `idle`, `slow-head` or `crowded`.
+    pub reason: &'static str,
+}
+
 /// Metrics of a daemon.
 #[derive(Debug)]
 pub struct MetricSet {
@@ -48,6 +55,11 @@
     pub unlogged: Counter,
     /// Number of retries and hedges, by service.
     pub retries: Family<ServiceLabel, Counter>,
+    /// Number of requests that backend servers rejected without running them, by
+    /// service.
+    pub rejections: Family<ServiceLabel, Counter>,
+    /// Number of rejected requests that were not tried again, by service.
+    pub retries_denied: Family<ServiceLabel, Counter>,
     /// Number of ejections, by service.
     pub ejections: Family<ServiceLabel, Counter>,
     /// Revision of the configuration in force.
@@ -68,10 +80,33 @@
     pub peer_messages: Family<OutcomeLabel, Counter>,
     /// Bytes sent to other daemons, by kind and distance.
     pub ledger: ByteLedger,
+    /// Number of callers' connections that the daemon closed, by reason.
+    pub closed: Family<CloseLabel, Counter>,
+    /// Number of requests that ran before those sent before them were answered.
+    pub ahead_requests: Counter,
+    /// Number of times that the answers to such requests filled the buffer of a
+    /// connection.
+    pub ahead_full: Counter,
     /// Number of open connections of callers.
     pub connections: Gauge,
     /// Number of backend servers of this VM that have named a limit.
     pub limited_servers: Gauge,
+    /// Number of evacuated zones in the configuration in force.
+    pub evacuated_zones: Gauge,
+    /// Number of services that this daemon has used and whose backend servers are all
+    /// in evacuated zones.
+    pub evacuated_services: Gauge,
+    /// Number of cold backend servers of this VM.
+    pub cold_servers: Gauge,
+    /// Number of offers that were refused because they do not fit the rate of a cold
+    /// backend server of this VM.
+    pub cold_refused: Counter,
+    /// Number of services, with the homes of requests, for which the latest request
+    /// found no backend server.
+    pub unserved_homes: Gauge,
+    /// Number of ranks and kinds of requests at the egress that get less than their
+    /// least share.
+    pub owed_kinds: Gauge,
     /// Number of requests that wait for a slot at the egress.
     pub waiting: Gauge,
     /// Number of requests that hold a slot at the egress.
@@ -89,6 +124,8 @@
             slot_wait: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
             unlogged: Counter::default(),
             retries: Family::default(),
+            rejections: Family::default(),
+            retries_denied: Family::default(),
             ejections: Family::default(),
             revision: Gauge::default(),
             platform_age_ms: Gauge::default(),
@@ -98,8 +135,17 @@
             contained_panics: Counter::default(),
             peer_messages: Family::default(),
             ledger: ByteLedger::default(),
+            closed: Family::default(),
+            ahead_requests: Counter::default(),
+            ahead_full: Counter::default(),
             connections: Gauge::default(),
             limited_servers: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            evacuated_services: Gauge::default(),
+            cold_servers: Gauge::default(),
+            cold_refused: Counter::default(),
+            unserved_homes: Gauge::default(),
+            owed_kinds: Gauge::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
         };
@@ -137,6 +183,16 @@
             self.unlogged.clone(),
         );
         registry.register("retries", "Retries and hedges", self.retries.clone());
+        registry.register(
+            "rejections",
+            "Requests that backend servers rejected without running them",
+            self.rejections.clone(),
+        );
+        registry.register(
+            "retries_denied",
+            "Rejected requests that were not tried again",
+            self.retries_denied.clone(),
+        );
         registry.register(
             "ejections",
             "Backend servers ejected",
@@ -192,6 +248,21 @@
             "Connections opened to other daemons by distance",
             self.ledger.connections.clone(),
         );
+        registry.register(
+            "requests_ahead",
+            "Requests that ran before those sent before them were answered",
+            self.ahead_requests.clone(),
+        );
+        registry.register(
+            "ahead_buffers_full",
+            "Times that answers to such requests filled the buffer of a connection",
+            self.ahead_full.clone(),
+        );
+        registry.register(
+            "connections_closed",
+            "Callers' connections that the daemon closed by reason",
+            self.closed.clone(),
+        );
         registry.register(
             "connections",
             "Callers' connections",
@@ -202,6 +273,36 @@
             "Backend servers of this VM that have named a limit",
             self.limited_servers.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Evacuated zones in the configuration in force",
+            self.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuated_services",
+            "Services in use here whose backend servers are all in evacuated zones",
+            self.evacuated_services.clone(),
+        );
+        registry.register(
+            "cold_servers",
+            "Cold backend servers of this VM",
+            self.cold_servers.clone(),
+        );
+        registry.register(
+            "cold_refused",
+            "Offers that do not fit the rate of a cold backend server of this VM",
+            self.cold_refused.clone(),
+        );
+        registry.register(
+            "unserved_homes",
+            "Services without a backend server in the regions that requests allow",
+            self.unserved_homes.clone(),
+        );
+        registry.register(
+            "owed_kinds",
+            "Ranks and kinds of requests that get less than their least share",
+            self.owed_kinds.clone(),
+        );
         registry.register("waiting", "Jobs that wait for a slot", self.waiting.clone());
         registry.register("running", "Jobs that hold a slot", self.running.clone());
     }
@@ -215,6 +316,13 @@
         }
     }
 
+    /// Counts connections of callers that are closed for a reason.
+    pub fn count_closed(&self, reason: &'static str, count: u64) {
+        self.closed
+            .get_or_create(&CloseLabel { reason })
+            .inc_by(count);
+    }
+
     /// Counts a request by its outcome.
     pub fn count_outcome(&self, outcome: &'static str, reason: &str) {
         let label = OutcomeLabel {
--- a/crates/serve/src/pool/server.rs
+++ b/crates/serve/src/pool/server.rs
@@ -10,7 +10,8 @@
 
 use config::Backend;
 use hop::{ServerLoad, ServerNotice};
-use route::{Candidate, Distance};
+use ids::{Percent, RequestRate};
+use route::{Candidate, Distance, aged_rejections};
 
 use crate::link::ConnectionPool;
 
@@ -34,6 +35,15 @@
 /// First and longest time for which a server is avoided whose daemon does not
 /// reply, in milliseconds. The time doubles while there is no reply.
 const SILENT_MS: u64 = 150;
+/// Time without a reply after which the daemon of a server counts as gone: as long as a
+/// search waits for a daemon that does not reply.
+const GONE_MS: u64 = 700;
+/// Number of consecutive offers without a reply from which the daemon of a server counts
+/// as gone. Single datagrams get lost.
+const GONE_OFFERS: u32 = 3;
+/// Time for which other requests avoid a server whose daemon did not reply, while one
+/// request finds out whether it replies again. A search takes 40 ms to notice.
+const PROBE_MS: u64 = 80;
 /// Time for which a notice of a server is used after it was last passed on, in
 /// milliseconds.
 const NOTICE_MS: u64 = 10_000;
@@ -41,6 +51,13 @@
 /// the end of the limit is noticed.
 const MIN_LIMITED_SHARE: f64 = 0.02;
 const MAX_SILENT_MS: u64 = 3_000;
+/// Share of its usual traffic that a cold server is offered, as its answers take about
+/// twice as long; and the share while nothing is known of its service time.
+const COLD_SHARE: f64 = 0.5;
+const FIRST_COLD_SHARE: f64 = 0.25;
+/// Time for which a server counts as cold after its egress refused a request for that,
+/// in milliseconds: the configuration may not say so yet.
+const COLD_REFUSAL_MS: u64 = 300;
 
 /// State of a backend server at this ingress.
 #[derive(Debug)]
@@ -63,15 +80,31 @@
     /// Time of the latest report that the server is failing, in milliseconds from
     /// `start`, plus one; zero if it is not failing.
     failing_ms: AtomicU64,
+    /// Percentage of recent requests that the server rejected, as last reported, and
+    /// when that was, in milliseconds from `start`.
+    rejected: AtomicU8,
+    rejected_ms: AtomicU64,
     /// Number of consecutive offers without a reply of the server's daemon.
     /// Offers that are made while the server is avoided are not counted.
     offers_without_reply: AtomicU32,
     /// End of the time for which the server is avoided because its daemon did not
     /// reply, in milliseconds from `start`.
     silent_until_ms: AtomicU64,
+    /// Time of the first of these offers that was noticed, in milliseconds from `start`,
+    /// plus one; zero while the daemon replies.
+    silent_since_ms: AtomicU64,
+    /// End of the time for which other requests wait for the result of a probe, in
+    /// milliseconds from `start`.
+    probe_until_ms: AtomicU64,
     /// What the server says about itself, and when that was last passed on, in
     /// milliseconds from `start`.
     notice: Mutex<(ServerNotice, u64)>,
+    /// Rate that the server takes while it is cold, as the bits of a number; zero if it
+    /// is warm.
+    cold_rate: AtomicU64,
+    /// End of the time for which it counts as cold after a refusal, in milliseconds from
+    /// `start`.
+    refused_cold_until_ms: AtomicU64,
 }
 
 impl ServerState {
@@ -94,9 +127,63 @@
             weight: AtomicU32::new(FULL_WEIGHT),
             canary: AtomicU8::new(NO_CANARY),
             failing_ms: AtomicU64::new(0),
+            rejected: AtomicU8::new(0),
+            rejected_ms: AtomicU64::new(0),
             offers_without_reply: AtomicU32::new(0),
             silent_until_ms: AtomicU64::new(0),
+            silent_since_ms: AtomicU64::new(0),
+            probe_until_ms: AtomicU64::new(0),
             notice: Mutex::default(),
+            cold_rate: AtomicU64::new(0),
+            refused_cold_until_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Whether this is the state of a server with that record. Whether the server is
+    /// cold may differ, because its state is kept when that changes.
+    pub(super) fn matches(&self, backend: &Backend) -> bool {
+        self.backend.id == backend.id
+            && *self.backend
+                == Backend {
+                    cold: self.backend.cold,
+                    ..backend.clone()
+                }
+    }
+
+    /// Sets the rate that the server takes while it is cold; `None` if it is warm.
+    pub(super) fn set_cold(&self, rate: Option<RequestRate>) {
+        let rate = rate.map_or(0.0, RequestRate::as_f64);
+        self.cold_rate.store(rate.to_bits(), Ordering::Relaxed);
+    }
+
+    /// Records that the egress of the server refused a request because the server is
+    /// cold.
+    pub fn record_cold_refusal(&self) {
+        let until = self.age_ms() + COLD_REFUSAL_MS;
+        self.refused_cold_until_ms.store(until, Ordering::Relaxed);
+    }
+
+    /// Whether the server is cold, by the configuration or a recent refusal.
+    pub fn is_cold(&self) -> bool {
+        self.listed_cold_rate() > 0.0
+            || self.age_ms() < self.refused_cold_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// Rate that the server takes by the configuration, zero if it is warm.
+    fn listed_cold_rate(&self) -> f64 {
+        f64::from_bits(self.cold_rate.load(Ordering::Relaxed))
+    }
+
+    /// Share of its usual traffic that the server is offered while it is cold.
+    fn cold_share(&self) -> f64 {
+        let service_s = self.service_us.load(Ordering::Relaxed) as f64 / 1e6;
+        match self.listed_cold_rate() {
+            0.0 => 1.0,
+            _ if service_s == 0.0 => FIRST_COLD_SHARE,
+            rate => {
+                let slots = f64::from(self.backend.slots.get().max(1));
+                (rate * service_s / slots).clamp(MIN_LIMITED_SHARE, 1.0) * COLD_SHARE
+            }
         }
     }
 
@@ -109,6 +196,29 @@
         self.failing_ms.store(reported, Ordering::Relaxed);
     }
 
+    /// Returns the moving average of the service time; zero while unknown.
+    pub(super) fn service_time(&self) -> Duration {
+        Duration::from_micros(self.service_us.load(Ordering::Relaxed))
+    }
+
+    /// Records the share of recent requests that the server rejected.
+    pub fn record_rejections(&self, share: Percent) {
+        self.rejected_ms.store(self.age_ms(), Ordering::Relaxed);
+        self.rejected.store(share.get(), Ordering::Relaxed);
+    }
+
+    /// Returns the share of requests that the server rejects, as far as that is known.
+    pub(super) fn rejections(&self) -> f64 {
+        match self.rejected.load(Ordering::Relaxed) {
+            0 => 0.0,
+            share => {
+                let reported_ms = self.rejected_ms.load(Ordering::Relaxed);
+                let age = Duration::from_millis(self.age_ms().saturating_sub(reported_ms));
+                aged_rejections(Percent(share), age)
+            }
+        }
+    }
+
     /// Whether a request should avoid this server, by the latest report.
     pub fn is_failing(&self, idempotent: bool) -> bool {
         let duration = match idempotent {
@@ -170,6 +280,7 @@
         self.delay_us.store(load.delay_us, Ordering::Relaxed);
         self.reported_ms.store(self.age_ms(), Ordering::Relaxed);
         self.record_gate(load.closed);
+        self.record_rejections(load.rejected);
         if service_us > 0 {
             let old = self.service_us.load(Ordering::Relaxed);
             let step = (service_us >> SERVICE_TIME_SHIFT).max(1);
@@ -187,6 +298,10 @@
         if now < self.silent_until_ms.load(Ordering::Relaxed) {
             return;
         }
+        // Fails if an earlier offer had no reply, whose time then counts.
+        let _ =
+            self.silent_since_ms
+                .compare_exchange(0, now + 1, Ordering::Relaxed, Ordering::Relaxed);
         let before = self.offers_without_reply.fetch_add(1, Ordering::Relaxed);
         let pause = (SILENT_MS << before.min(6)).min(MAX_SILENT_MS);
         self.silent_until_ms.store(now + pause, Ordering::Relaxed);
@@ -196,11 +311,32 @@
     pub fn record_reply(&self) {
         self.offers_without_reply.store(0, Ordering::Relaxed);
         self.silent_until_ms.store(0, Ordering::Relaxed);
+        self.silent_since_ms.store(0, Ordering::Relaxed);
+        self.probe_until_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// Records that an offer is made. If the daemon did not reply to the last one, other
+    /// requests avoid the server until it is known whether it replies again.
+    pub fn record_offer(&self) {
+        if self.silent_since_ms.load(Ordering::Relaxed) > 0 {
+            let until = self.age_ms() + PROBE_MS;
+            self.probe_until_ms.store(until, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the daemon on the server's VM has not replied for longer than a search
+    /// waits for it.
+    pub(super) fn is_gone(&self) -> bool {
+        let since = self.silent_since_ms.load(Ordering::Relaxed);
+        let offers = self.offers_without_reply.load(Ordering::Relaxed);
+        since > 0 && offers >= GONE_OFFERS && self.age_ms() + 1 >= since + GONE_MS
     }
 
     /// Whether the server is avoided because its daemon did not reply.
     pub(super) fn is_silent(&self) -> bool {
-        self.age_ms() < self.silent_until_ms.load(Ordering::Relaxed)
+        let now = self.age_ms();
+        now < self.silent_until_ms.load(Ordering::Relaxed)
+            || now < self.probe_until_ms.load(Ordering::Relaxed)
     }
 
     /// Sets the share of its ordinary traffic that the server may take, 0 to 1.
@@ -266,7 +402,8 @@
     }
 
     /// Returns the values by which the server is compared with others.
-    pub(super) fn candidate(&self) -> Candidate {
+    /// `rejected` is how much more than usual in its pool it rejects.
+    pub(super) fn candidate(&self, rejected: f64) -> Candidate {
         let (running, delay_us) = match self.is_load_fresh() {
             true => (
                 self.running.load(Ordering::Relaxed),
@@ -281,7 +418,8 @@
             in_flight: self.in_flight.load(Ordering::Relaxed),
             service_time: Duration::from_micros(self.service_us.load(Ordering::Relaxed)),
             distance: self.distance,
-            weight: self.weight() * self.limited_share(),
+            weight: self.weight() * self.limited_share() * self.cold_share(),
+            rejected,
         }
     }
 
@@ -298,6 +436,8 @@
             "delay_us": self.delay_us.load(Ordering::Relaxed),
             "limit": self.notice().limit.map(|limit| limit.to_string()),
             "leaving": self.notice().leaving,
+            "rejected": self.rejections(),
+            "cold": self.is_cold(),
             "service_us": self.service_us.load(Ordering::Relaxed),
         })
     }
--- a/crates/serve/src/pool/table.rs
+++ b/crates/serve/src/pool/table.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use config::{Backend, PoolMembers, Service};
 use hop::ServerNotice;
-use ids::{FastMap, ServerId, ServiceId, VmId};
+use ids::{FastMap, Percent, ServerId, ServiceId, VmId};
 use route::{Distance, LatencyQuantile};
 
 use super::{PoolState, ServerState};
@@ -73,10 +73,18 @@
         }
     }
 
-    /// Records whether the egress of a server refuses ordinary requests.
-    pub fn record_gate(&self, service: &ServiceId, server: &ServerId, closed: bool) {
+    /// Records what the egress of a server has announced: whether it refuses ordinary
+    /// requests, and the share of requests that the server rejected.
+    pub fn record_announced(
+        &self,
+        service: &ServiceId,
+        server: &ServerId,
+        closed: bool,
+        rejected: Percent,
+    ) {
         if let Some(state) = self.state(service, server) {
             state.record_gate(closed);
+            state.record_rejections(rejected);
         }
     }
 
@@ -114,8 +122,8 @@
     }
 
     /// Creates a pool that keeps the state of the servers and the statistics of
-    /// the pool before it. The state of a server is kept if its record and the
-    /// address of its VM are unchanged.
+    /// the pool before it. The state of a server is kept if its record, apart from
+    /// whether it is cold, and the address of its VM are unchanged.
     fn make_pool(
         &self,
         service: &Arc<Service>,
@@ -126,7 +134,7 @@
             let old = before?
                 .servers
                 .iter()
-                .find(|state| *state.backend == *backend)?;
+                .find(|state| state.matches(backend))?;
             let same_address = match &old.connections {
                 Some(connections) => {
                     self.view.table().vm(&backend.vm)?.address == connections.address()
@@ -135,7 +143,12 @@
             };
             same_address.then(|| Arc::clone(old))
         };
-        let state = |backend: Backend| keep(&backend).or_else(|| self.make_server(backend));
+        let state = |backend: Backend| {
+            let rate = service.cold.filter(|_| backend.cold).map(|cold| cold.rate);
+            let state = keep(&backend).or_else(|| self.make_server(backend))?;
+            state.set_cold(rate);
+            Some(state)
+        };
         let members = self.view.table().pool_servers(&service.id);
         let budget = before.map_or_else(Arc::default, |pool| Arc::clone(&pool.budget));
         let slack = self.settings.load().policy.retry_slack;
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -6,12 +6,13 @@
 };
 
 use bytes::Bytes;
-use config::{Account, KeyDigest};
+use config::{Account, CheckedKey};
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use hyper::{Response, body::Body, http::request::Parts};
 use ids::{MonoTime, Rank, WorkPriority};
 use route::{
-    AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, PlanAction, PlanEvent, PlanOptions,
+    AttemptEnd, AttemptId, AttemptPlan, FailedOutcome, HomeRegions, PlanAction, PlanEvent,
+    PlanOptions, RequestScope,
 };
 
 use tokio::sync::mpsc;
@@ -20,6 +21,7 @@
     answer::Refusal,
     attempt::{AttemptResult, RequestAttempt, RequestSource, StallSender},
     body::ProxyBody,
+    gate::SentMark,
     ingress::Ingress,
     metrics::ServiceLabel,
     pool::PoolState,
@@ -42,12 +44,16 @@
     pub trace: Arc<RequestTrace>,
     /// Client account of the caller; `None` on an open route.
     pub account: Option<Arc<Account>>,
-    /// Digest of the caller's key.
-    pub key: Option<KeyDigest>,
+    /// Key of the caller.
+    pub key: Option<CheckedKey>,
     /// Rank among the requests that wait for a slot.
     pub rank: Rank,
     /// Priority among otherwise equal requests when not all can be served.
     pub work_priority: WorkPriority,
+    /// Regions that the request may be run in.
+    pub homes: HomeRegions,
+    /// Kind of the request, by which egresses learn how much work it is.
+    pub kind: u32,
     /// Maximum number of backend servers that may run the request.
     pub max_attempts: Option<u32>,
     /// Whether the request is internal work.
@@ -64,6 +70,8 @@
     pub body_deadline: Option<MonoTime>,
     /// Time at which the request arrived.
     pub started: MonoTime,
+    /// Set when the request is sent for the first time.
+    pub sent: SentMark,
 }
 
 /// Run of one request: all its attempts, up to an answer or a refusal.
@@ -89,6 +97,7 @@
         replay: Option<Bytes>,
         options: RunOptions,
     ) -> Self {
+        let scope = RequestScope::new(options.homes.clone());
         let source = RequestSource {
             number: rand::random(),
             options,
@@ -96,6 +105,7 @@
             replay,
             body: Mutex::new(Some(body)),
             committed_to: Mutex::default(),
+            scope: Mutex::new(scope),
             shortest_wait: Mutex::default(),
         };
         Self {
@@ -132,7 +142,10 @@
         let mut plan = AttemptPlan::new(PlanOptions {
             idempotent: self.source.options.idempotent,
             replayable: self.source.replay.is_some(),
+            rank: self.source.options.rank,
+            target: self.source.options.target,
             deadline: self.source.options.deadline,
+            expected_work: self.pool.expected_work(),
             max_runs: self.source.options.max_attempts,
             hedge_after: self.hedge_after(),
         });
@@ -141,7 +154,12 @@
         let mut answer = None;
         let mut failed = None;
         loop {
-            for action in plan.handle(clock.now(), event, &budget) {
+            let rejected = matches!(event, PlanEvent::Ended(_, AttemptEnd::Rejected));
+            let actions = plan.handle(clock.now(), event, &budget);
+            if rejected {
+                self.count_rejection(&actions);
+            }
+            for action in actions {
                 match action {
                     PlanAction::Send(id) => self.start_attempt(id),
                     // The attempt is dropped with the run, so nothing has to be done.
@@ -183,6 +201,19 @@
         }
     }
 
+    /// Counts an attempt that a backend server rejected, and whether the plan gives up
+    /// for that reason.
+    fn count_rejection(&self, actions: &[PlanAction]) {
+        let label = ServiceLabel {
+            service: self.pool.service.id.to_string(),
+        };
+        let metrics = &self.ingress.metrics;
+        metrics.rejections.get_or_create(&label).inc();
+        if let [PlanAction::Fail(_)] = actions {
+            metrics.retries_denied.get_or_create(&label).inc();
+        }
+    }
+
     /// Returns the time after which the request is hedged; `None` for never.
     fn hedge_after(&self) -> Option<Duration> {
         match self.pool.service.hedge && !self.source.options.bulk {
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -69,6 +69,11 @@
     /// Number of retries that the whole fleet may make for one service beyond
     /// that share within a short time.
     pub retry_slack: f64,
+    /// Bound of the requests to a cold backend server: in no second more than the rate
+    /// of its service times this factor, and `cold_slack` more.
+    pub cold_over: f64,
+    /// See `cold_over`.
+    pub cold_slack: f64,
     /// Number of daemons in each availability zone that read the configuration
     /// from the platform; the others pull it from peers.
     pub readers_per_zone: usize,
@@ -86,6 +91,8 @@
             floor_share: 0.6,
             retry_ratio: 0.1,
             retry_slack: 50.0,
+            cold_over: 1.5,
+            cold_slack: 8.0,
             readers_per_zone: 3,
             refuse_isolated: true,
             linger_ms: 0,
@@ -204,6 +211,14 @@
     pub head_bytes: usize,
     /// Maximum time until the head of a request is complete, in milliseconds.
     pub head_timeout_ms: u64,
+    /// Maximum time that a connection of a caller may be idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+    /// Maximum number of requests on a connection of a caller that run before those
+    /// sent before them are answered; 0 for none.
+    pub requests_ahead: usize,
+    /// Number of bytes of their answers from which on no more are buffered for a
+    /// connection.
+    pub ahead_bytes: usize,
     /// Time without any data after which a body counts as broken, in
     /// milliseconds. The same holds for an answer of which its reader takes no byte.
     pub stall_timeout_ms: u64,
@@ -219,6 +234,9 @@
             connections: 20_000,
             head_bytes: 16 * 1024,
             head_timeout_ms: 10_000,
+            idle_timeout_ms: 10_000,
+            requests_ahead: 16,
+            ahead_bytes: 256 * 1024,
             stall_timeout_ms: 30_000,
             grace_s: 600,
         }
@@ -231,6 +249,11 @@
         Duration::from_millis(self.head_timeout_ms)
     }
 
+    /// Returns the maximum time that a connection of a caller may be idle.
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms)
+    }
+
     /// Returns the time without any data after which a body counts as broken.
     pub fn stall_timeout(&self) -> Duration {
         Duration::from_millis(self.stall_timeout_ms)
@@ -351,6 +374,21 @@
                 "budgets.head_timeout_ms",
                 "must be 10 to 600000 milliseconds",
             ),
+            (
+                (10..=600_000).contains(&budgets.idle_timeout_ms),
+                "budgets.idle_timeout_ms",
+                "must be 10 to 600000 milliseconds",
+            ),
+            (
+                budgets.requests_ahead <= 1_000,
+                "budgets.requests_ahead",
+                "must be 0 to 1000 requests; 0 serves them one after the other",
+            ),
+            (
+                (1_024..=1 << 30).contains(&budgets.ahead_bytes),
+                "budgets.ahead_bytes",
+                "must be 1024 to 1073741824 bytes",
+            ),
             (
                 (100..=3_600_000).contains(&budgets.stall_timeout_ms),
                 "budgets.stall_timeout_ms",
@@ -376,6 +414,16 @@
                 "policy.retry_slack",
                 "must be 0 or more requests",
             ),
+            (
+                (1.0..=100.0).contains(&self.policy.cold_over),
+                "policy.cold_over",
+                "must be 1 to 100",
+            ),
+            (
+                (1.0..=1e6).contains(&self.policy.cold_slack),
+                "policy.cold_slack",
+                "must be 1 to 1000000 requests",
+            ),
             (
                 self.policy.readers_per_zone > 0,
                 "policy.readers_per_zone",
