--- a/crates/serve/src/caller/connection.rs
+++ b/crates/serve/src/caller/connection.rs
@@ -102,8 +102,8 @@
         let buffer_bytes = head_bytes.max(MIN_BUFFER_BYTES);
         let budgets = &self.ingress.settings.load().budgets;
         let ahead = &SentAhead::new(budgets, buffer_bytes);
-        let stream = CallerStream::new(stream, state, ahead);
         let stream = LimitedWriter::new(stream, budgets.stall_timeout());
+        let stream = CallerStream::new(stream, state, ahead);
         let first_request = Notify::new();
         let requested = AtomicBool::new(false);
         let service = service_fn(|request: Request<Incoming>| {
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -28,7 +28,7 @@
     gate::RateLimiter,
     hop::HopTransport,
     ingress::Ingress,
-    link::KEEPALIVE_INTERVAL,
+    keepalive::KEEPALIVE_INTERVAL,
     listener::{HttpListener, ListenerLimits, MAX_HEAD_FIELDS},
     metrics::MetricSet,
     peer::PeerHandler,
@@ -38,6 +38,7 @@
     task::{StopSource, TaskGroup},
     trail::LineLimiter,
     view::FleetView,
+    watch::UNREAD_FACTOR,
     wire::HeaderSeal,
 };
 
@@ -189,7 +190,7 @@
             head_fields: MAX_HEAD_FIELDS,
             head_timeout: PEER_IDLE_TIMEOUT,
             keepalive: KEEPALIVE_INTERVAL,
-            write_timeout: budgets.stall_timeout(),
+            write_timeout: budgets.stall_timeout() * UNREAD_FACTOR,
             // The ingress adds the date if the backend server gave none.
             adds_date: false,
         };
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -23,6 +23,7 @@
 mod gate;
 mod hop;
 mod ingress;
+mod keepalive;
 mod ledger;
 mod link;
 mod listener;
--- a/crates/serve/src/listener.rs
+++ b/crates/serve/src/listener.rs
@@ -23,8 +23,8 @@
 use crate::{
     body::ProxyBody,
     caller::CallerCrowd,
+    keepalive::detect_dead_caller,
     ledger::{MeteredStream, StreamMeter},
-    link::detect_dead_caller,
     task::{StopSignal, TaskGroup},
     write_limit::LimitedWriter,
 };
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -220,7 +220,7 @@
     /// connection.
     pub ahead_bytes: usize,
     /// Time without any data after which a body counts as broken, in
-    /// milliseconds. The same holds for an answer that its reader does not take.
+    /// milliseconds. The same holds for an answer of which its reader takes no byte.
     pub stall_timeout_ms: u64,
     /// Maximum time that requests in flight get to finish at shutdown, in
     /// seconds.
