A request that runs ahead goes on while its client does not read

When the library came to a request that ran ahead, the run became the library's future, which it polls only while it can write. A client that does not read could so halt a run between its offer and its dispatch, which holds a slot and ends as 'lapsed'. Found in review of the code; no test of its own, since the window needs a socket that fills up with the last bytes of an answer. The connection now polls the run until its answer is taken.

--- a/crates/serve/src/caller/ahead.rs
+++ b/crates/serve/src/caller/ahead.rs
@@ -3,15 +3,17 @@
 
 use std::{
     collections::VecDeque,
+    future::Future,
+    pin::Pin,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
-    task::Context,
+    task::{Context, Poll},
 };
 
 use hyper::{
-    HeaderMap, Method, Request, Uri, Version,
+    HeaderMap, Method, Request, Response, Uri, Version,
     body::Incoming,
     header::{HOST, HeaderValue, UPGRADE},
 };
@@ -21,7 +23,11 @@
     runs::{AheadBytes, AheadRun},
     state::CallerState,
 };
-use crate::{body::empty_body, ingress::Ingress, settings::Budgets};
+use crate::{
+    body::{ProxyBody, empty_body},
+    ingress::Ingress,
+    settings::Budgets,
+};
 
 /// What is needed to tell whether requests may run ahead of the one in flight.
 #[derive(Debug)]
@@ -35,6 +41,9 @@
 struct AheadParts {
     plan: AheadPlan,
     runs: VecDeque<AheadRun>,
+    /// The run of the request in flight, until its answer is taken. The library may
+    /// not ask for it while the client does not read, and the run has to go on.
+    current: Option<AheadRun>,
     /// The request in flight, until it was checked whether requests may run ahead
     /// of it; `None` if none ever may.
     in_flight: Option<FlightHead>,
@@ -69,6 +78,7 @@
             parts: Mutex::new(AheadParts {
                 plan,
                 runs: VecDeque::new(),
+                current: None,
                 in_flight: None,
                 fed: 0,
             }),
@@ -126,8 +136,9 @@
     }
 
     /// Records that the HTTP library has read the head of a request, whose body has
-    /// the given length if it is known. Returns its run if it runs ahead.
-    pub fn begin(&self, request: &Request<Incoming>, length: Option<u64>) -> Option<AheadRun> {
+    /// the given length if it is known. Returns whether it runs already, so that
+    /// [`Self::poll_answer`] yields its answer.
+    pub fn begin(&self, request: &Request<Incoming>, length: Option<u64>) -> bool {
         let mut parts = self.lock();
         let run = match parts.plan.begin(length) {
             BegunRequest::Next => None,
@@ -156,7 +167,16 @@
                 }
             }
         }
-        run
+        parts.current = run;
+        parts.current.is_some()
+    }
+
+    /// Waits for the answer to the request in flight, which runs already.
+    pub fn poll_answer(&self, context: &mut Context<'_>) -> Poll<Response<ProxyBody>> {
+        match &mut self.lock().current {
+            Some(run) => Pin::new(run).poll(context),
+            None => Poll::Pending,
+        }
     }
 
     /// Starts the requests that may run ahead and advances those that do. Returns
@@ -179,7 +199,7 @@
             self.start_runs(parts, ingress);
         }
         let was_full = self.budget.is_full();
-        for run in &mut parts.runs {
+        for run in parts.current.iter_mut().chain(&mut parts.runs) {
             run.poll_ahead(context);
         }
         if self.budget.is_full() && !was_full {
@@ -189,8 +209,9 @@
             }
         }
         let holds = parts.plan.is_holding();
-        self.active
-            .store(holds || !parts.runs.is_empty(), Ordering::Relaxed);
+        let waits = parts.current.as_ref().is_some_and(|run| !run.is_taken());
+        let has_runs = waits || !parts.runs.is_empty();
+        self.active.store(holds || has_runs, Ordering::Relaxed);
         (holds && !state.is_busy()).then_some(parts.fed)
     }
 
--- a/crates/serve/src/caller/connection.rs
+++ b/crates/serve/src/caller/connection.rs
@@ -23,8 +23,7 @@
 use tokio::{net::TcpStream, sync::Notify};
 
 use super::{
-    LimitSource, ahead::SentAhead, crowd::CallerCrowd, runs::AheadRun, state::CallerState,
-    stream::CallerStream,
+    LimitSource, ahead::SentAhead, crowd::CallerCrowd, state::CallerState, stream::CallerStream,
 };
 use crate::{
     body::{BodyError, ProxyBody, box_body},
@@ -108,8 +107,8 @@
             first_request.notify_one();
             let length = request.body().size_hint().exact();
             // Before the library reads on, which it may do before it polls the answer.
-            let run = ahead.begin(&request, length);
-            let answer = self.serve_request(request, run, state, ahead);
+            let runs = ahead.begin(&request, length);
+            let answer = self.serve_request(request, runs, state, ahead);
             async move { Ok::<_, Infallible>(answer.await) }
         });
         let connection = http1::Builder::new()
@@ -148,18 +147,18 @@
         }
     }
 
-    /// Answers a request, unless it runs already.
+    /// Answers a request. `runs` tells whether it runs already.
     async fn serve_request(
         &self,
         request: Request<Incoming>,
-        run: Option<AheadRun>,
+        runs: bool,
         state: &Arc<CallerState>,
         ahead: &SentAhead,
     ) -> Response<TrackedBody> {
         let state = Arc::clone(state);
-        let mut response = match run {
-            Some(run) => run.await,
-            None => self.ingress.serve(request.map(box_body)).await,
+        let mut response = match runs {
+            true => poll_fn(|context| ahead.poll_answer(context)).await,
+            false => self.ingress.serve(request.map(box_body)).await,
         };
         let headers = response.headers_mut();
         match ahead.has_runs() {
--- a/crates/serve/src/caller/runs.rs
+++ b/crates/serve/src/caller/runs.rs
@@ -184,6 +184,11 @@
         self.method == method && self.uri == *uri
     }
 
+    /// Whether its answer was taken.
+    pub fn is_taken(&self) -> bool {
+        matches!(self.state, RunState::Answered(None))
+    }
+
     /// Advances the request, and buffers its answer while the budget allows it.
     pub fn poll_ahead(&mut self, context: &mut Context<'_>) {
         if let RunState::Running(answer) = &mut self.state
@@ -203,7 +208,11 @@
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Response<ProxyBody>> {
         match &mut self.state {
-            RunState::Running(answer) => Poll::Ready(ready!(answer.as_mut().poll(context))),
+            RunState::Running(answer) => {
+                let response = ready!(answer.as_mut().poll(context));
+                self.state = RunState::Answered(None);
+                Poll::Ready(response)
+            }
             RunState::Answered(response) => match response.take() {
                 Some(response) => Poll::Ready(response.map(BodyExt::boxed_unsync)),
                 None => Poll::Pending,
