An answer that breaks off while it waits keeps its length

Callers that pipeline could read the head of the next answer as part of a body: the answer had `Content-Length: 200000` and 0 bytes, and the next answer followed at once. It took an answer whose time ended, or whose body broke off, while the answers before it were being read.

The wrapper of such an answer told the HTTP library the number of bytes that were still to come. When the body failed while it was buffered, this number shrank to what was buffered, and the library took the answer for complete. The wrapper now keeps the declared length.

An answer whose body has failed before its turn is replaced by 502, or 504 if its time has passed, as a request of its own would get. If it were begun, the library would drop the unsent end of the answers before it with the connection.

--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -14,6 +14,18 @@
 /// Error of a body that ends before it is complete.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 
+/// Error of a body that is not complete at the time that the caller gave.
+#[derive(Debug)]
+pub struct DeadlinePassed;
+
+impl std::fmt::Display for DeadlinePassed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the time that the caller gave has passed")
+    }
+}
+
+impl std::error::Error for DeadlinePassed {}
+
 /// Any body that the daemon forwards or creates.
 pub type ProxyBody = UnsyncBoxBody<Bytes, BodyError>;
 
@@ -219,9 +231,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.timer.as_mut().poll(cx) {
-            Poll::Ready(()) => {
-                Poll::Ready(Some(Err("the time that the caller gave has passed".into())))
-            }
+            Poll::Ready(()) => Poll::Ready(Some(Err(DeadlinePassed.into()))),
             Poll::Pending => Pin::new(&mut self.inner).poll_frame(cx),
         }
     }
--- a/crates/serve/src/caller/ahead.rs
+++ b/crates/serve/src/caller/ahead.rs
@@ -208,8 +208,9 @@
             *request.headers_mut() = head.headers;
             let ingress = Arc::clone(ingress);
             ingress.metrics.ahead_requests.inc();
+            let codec = Arc::clone(&ingress.codec);
             let answer = Box::pin(async move { ingress.serve(request).await });
-            let run = AheadRun::new(method, uri, answer, self.budget.clone());
+            let run = AheadRun::new(method, uri, answer, self.budget.clone(), codec);
             parts.runs.push_back(run);
         }
     }
--- a/crates/serve/src/caller/runs.rs
+++ b/crates/serve/src/caller/runs.rs
@@ -20,7 +20,13 @@
     body::{Body, Frame, SizeHint},
 };
 
-use crate::body::{BodyError, ProxyBody};
+use route::FailedOutcome;
+
+use crate::{
+    answer::Refusal,
+    body::{BodyError, DeadlinePassed, ProxyBody},
+    edge::EdgeCodec,
+};
 
 /// Bytes of the answers of one connection that are buffered ahead.
 #[derive(Clone, Debug)]
@@ -62,9 +68,11 @@
     buffered: usize,
     /// The body behind `frames`; `None` once it has ended.
     rest: Option<ProxyBody>,
-    /// Whether the length is known. If it is not, the HTTP library has to send the
-    /// body in chunks, even if all of it is buffered.
-    is_sized: bool,
+    /// Number of bytes that are to be passed on, if it is known. If it is not, the
+    /// HTTP library has to send the body in chunks, even if all of it is buffered.
+    /// It stays when the body breaks off: with a shorter length, the library would
+    /// take the answer for complete and write the next one into it.
+    left: Option<u64>,
     budget: AheadBytes,
 }
 
@@ -74,7 +82,7 @@
         Self {
             frames: VecDeque::new(),
             buffered: 0,
-            is_sized: body.size_hint().exact().is_some(),
+            left: body.size_hint().exact(),
             rest: Some(body),
             budget,
         }
@@ -97,6 +105,28 @@
             self.frames.extend(frame);
         }
     }
+
+    /// Returns why the body has failed, if it has before its first byte is passed on.
+    fn failure(&mut self, context: &mut Context<'_>) -> Option<FailedOutcome> {
+        // It may have failed while the budget did not allow to poll it.
+        if self.frames.is_empty()
+            && let Some(rest) = &mut self.rest
+            && let Poll::Ready(frame) = Pin::new(rest).poll_frame(context)
+        {
+            if !matches!(frame, Some(Ok(_))) {
+                self.rest = None;
+            }
+            let bytes = frame.as_ref().map_or(0, data_length);
+            self.buffered += bytes;
+            self.budget.add(bytes);
+            self.frames.extend(frame);
+        }
+        match self.frames.back() {
+            Some(Err(error)) if error.is::<DeadlinePassed>() => Some(FailedOutcome::UnknownTimeout),
+            Some(Err(_)) => Some(FailedOutcome::Unknown),
+            _ => None,
+        }
+    }
 }
 
 impl Body for AheadBody {
@@ -107,38 +137,44 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let Some(frame) = self.frames.pop_front() else {
-            return match &mut self.rest {
-                Some(rest) => Pin::new(rest).poll_frame(context),
-                None => Poll::Ready(None),
-            };
+        let frame = match (self.frames.pop_front(), &mut self.rest) {
+            (Some(frame), _) => {
+                let bytes = data_length(&frame);
+                self.buffered -= bytes;
+                self.budget.remove(bytes);
+                frame
+            }
+            (None, Some(rest)) => match ready!(Pin::new(rest).poll_frame(context)) {
+                Some(frame) => frame,
+                None => return Poll::Ready(None),
+            },
+            (None, None) => return Poll::Ready(None),
         };
-        let data = frame.as_ref().ok().and_then(|frame| frame.data_ref());
-        let bytes = data.map_or(0, Bytes::len);
-        self.buffered -= bytes;
-        self.budget.remove(bytes);
+        let bytes = data_length(&frame) as u64;
+        self.left = self.left.map(|left| left.saturating_sub(bytes));
         Poll::Ready(Some(frame))
     }
 
     fn is_end_stream(&self) -> bool {
-        let rest_ended = self
-            .rest
-            .as_ref()
-            .map_or(self.is_sized, |rest| rest.is_end_stream());
+        let rest_ended = match &self.rest {
+            Some(rest) => rest.is_end_stream(),
+            None => self.left == Some(0),
+        };
         self.frames.is_empty() && rest_ended
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self.is_sized {
-            true => {
-                let rest = self.rest.as_ref().and_then(|rest| rest.size_hint().exact());
-                SizeHint::with_exact(self.buffered as u64 + rest.unwrap_or(0))
-            }
-            false => SizeHint::default(),
-        }
+        self.left
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
+/// Number of data bytes of a frame.
+fn data_length(frame: &Result<Frame<Bytes>, BodyError>) -> usize {
+    let data = frame.as_ref().ok().and_then(|frame| frame.data_ref());
+    data.map_or(0, Bytes::len)
+}
+
 impl Drop for AheadBody {
     fn drop(&mut self) {
         self.budget.remove(self.buffered);
@@ -161,21 +197,25 @@
     uri: Uri,
     state: RunState,
     budget: AheadBytes,
+    codec: Arc<dyn EdgeCodec>,
 }
 
 impl AheadRun {
-    /// Creates the run of a request, which `answer` answers.
+    /// Creates the run of a request, which `answer` answers. If the body of the answer
+    /// fails before it is passed on, an answer with the headers of `codec` says so.
     pub fn new(
         method: Method,
         uri: Uri,
         answer: BoxFuture<'static, Response<ProxyBody>>,
         budget: AheadBytes,
+        codec: Arc<dyn EdgeCodec>,
     ) -> Self {
         Self {
             method,
             uri,
             state: RunState::Running(answer),
             budget,
+            codec,
         }
     }
 
@@ -205,9 +245,139 @@
         match &mut self.state {
             RunState::Running(answer) => Poll::Ready(ready!(answer.as_mut().poll(context))),
             RunState::Answered(response) => match response.take() {
-                Some(response) => Poll::Ready(response.map(BodyExt::boxed_unsync)),
+                Some(mut response) => {
+                    let failure = response.body_mut().failure(context);
+                    Poll::Ready(match failure {
+                        // Had its head been passed on, the connection would end, and
+                        // with it the unsent rest of the answers before it.
+                        Some(outcome) => Refusal::Unknown(outcome).response(&*self.codec),
+                        None => response.map(BodyExt::boxed_unsync),
+                    })
+                }
                 None => Poll::Pending,
             },
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    struct Broken(u8);
+
+    impl Body for Broken {
+        type Data = Bytes;
+        type Error = BodyError;
+
+        fn poll_frame(
+            mut self: Pin<&mut Self>,
+            _: &mut Context<'_>,
+        ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+            self.0 += 1;
+            Poll::Ready(match self.0 {
+                1 => Some(Ok(Frame::data(Bytes::from_static(b"abcde")))),
+                2 => Some(Err("cut".into())),
+                _ => None,
+            })
+        }
+
+        fn size_hint(&self) -> SizeHint {
+            match self.0 {
+                0 => SizeHint::with_exact(10),
+                _ => SizeHint::with_exact(5),
+            }
+        }
+    }
+
+    /// A body that broke off while it was buffered must not look shorter: the next
+    /// answer would follow inside of it.
+    #[test]
+    fn broken_length() {
+        let mut body = AheadBody::new(Broken(0).boxed_unsync(), AheadBytes::new(100));
+        assert_eq!(body.size_hint().exact(), Some(10));
+        let waker = futures::task::noop_waker();
+        body.poll_buffer(&mut Context::from_waker(&waker));
+        assert_eq!(body.size_hint().exact(), Some(10));
+    }
+
+    /// Returns what a client reads that sends two requests, each of which runs ahead
+    /// with a budget of `budget` bytes and whose body breaks off, and whether the
+    /// connection stays open.
+    async fn broken_answers(budget: usize) -> (String, bool) {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let (client, server) = tokio::io::duplex(4096);
+        let service = hyper::service::service_fn(move |_request| async move {
+            let answer = Response::builder().header("content-length", 10);
+            let answer = answer.body(Broken(0).boxed_unsync()).unwrap();
+            let answer: BoxFuture<'static, _> = Box::pin(async move { answer });
+            let (uri, codec) = (Uri::from_static("/"), Arc::new(crate::edge::DefaultCodec));
+            let budget = AheadBytes::new(budget);
+            let mut run = AheadRun::new(Method::GET, uri, answer, budget, codec);
+            std::future::poll_fn(|context| {
+                run.poll_ahead(context);
+                Poll::Ready(())
+            })
+            .await;
+            Ok::<_, std::convert::Infallible>(run.await)
+        });
+        let served = hyper::server::conn::http1::Builder::new()
+            .serve_connection(hyper_util::rt::TokioIo::new(server), service);
+        let (mut read, mut write) = tokio::io::split(client);
+        let talk = async {
+            for _ in 0..2 {
+                let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+                let _ = write.write_all(request).await;
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+            let mut bytes = vec![0; 4096];
+            let length = read.read(&mut bytes).await.expect("read");
+            String::from_utf8_lossy(&bytes[..length]).into_owned()
+        };
+        let served = tokio::time::timeout(std::time::Duration::from_secs(2), served);
+        let (served, text) = tokio::join!(served, talk);
+        (text, !matches!(served, Ok(Err(_))))
+    }
+
+    /// An answer whose body broke off before its turn must not be begun: the end of the
+    /// connection would cut the answers before it.
+    #[tokio::test]
+    async fn broken_before_turn() {
+        let (text, open) = broken_answers(100).await;
+        assert_eq!(text.matches("HTTP/1.1 502").count(), 2, "{text}");
+        assert!(!text.contains("HTTP/1.1 200"), "{text}");
+        assert!(open, "the connection ends");
+    }
+
+    /// The connection has to end where a body broke off, and carry no further answer.
+    #[tokio::test]
+    async fn broken_on_wire() {
+        // The budget is full before the error is seen.
+        let (text, open) = broken_answers(5).await;
+        assert!(text.matches("HTTP/1.1 200").count() <= 1, "{text}");
+        assert!(!text.contains("HTTP/1.1 502"), "{text}");
+        assert!(!open, "the connection goes on");
+    }
+
+    /// An answer that is complete, but whose time ends while the buffer of the connection
+    /// is full, must keep its length.
+    #[tokio::test]
+    async fn late_length() {
+        let past = tokio::time::Instant::now();
+        let inner = crate::body::full_body(Bytes::from_static(b"0123456789"));
+        let body = crate::body::DeadlineBody::new(inner, past).boxed_unsync();
+        let budget = AheadBytes::new(100);
+        budget.add(100);
+        let mut body = AheadBody::new(body, budget.clone());
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        let poll = |body: &mut AheadBody| {
+            let waker = futures::task::noop_waker();
+            body.poll_buffer(&mut Context::from_waker(&waker));
+        };
+        poll(&mut body);
+        assert_eq!(body.size_hint().exact(), Some(10));
+        budget.remove(100);
+        poll(&mut body);
+        assert_eq!(body.size_hint().exact(), Some(10));
+    }
+}
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -450,3 +450,36 @@
     within("the daemon stops", stop).await.unwrap();
     fleet.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answer_not_shortened() {
+    // Guards against an answer whose time ends while it waits for its turn, and which
+    // the next answer follows as if it were complete.
+    let body = Bytes::from(vec![b'b'; 200_000]);
+    let shape = FleetShape {
+        body: body.clone(),
+        budgets: Budgets {
+            ahead_bytes: 64 * 1024,
+            ..Budgets::default()
+        },
+        ..FleetShape::single()
+    };
+    let fleet = held_fleet(shape).await;
+    let hurried = |id: &str| request_with(&format!("GET /plans/hurried/{id}"), id, "");
+    let text = get("held") + &hurried("first") + &hurried("second") + &get("after");
+    let mut stream = send(&fleet, &text).await;
+    sleep(Duration::from_millis(u64::from(HURRY_MS) * 3)).await;
+    fleet.backends[0].release();
+    let mut bytes = Vec::new();
+    let _ = timeout(Duration::from_secs(3), stream.read_to_end(&mut bytes)).await;
+    let text = String::from_utf8_lossy(&bytes);
+    assert_eq!(statuses(&text), [200, 200, 504, 200]);
+    for answer in text.split("HTTP/1.1 ").skip(1) {
+        let (head, rest) = answer.split_once("\r\n\r\n").expect("head");
+        match head.starts_with("200") {
+            true => assert_eq!(rest.len(), body.len(), "{head}"),
+            false => assert!(rest.starts_with("unknown: "), "{rest}"),
+        }
+    }
+    fleet.stop().await;
+}
