Requests ahead buffer at most 64 KB outside the budget

Clients that pipeline downloads and read slowly made a daemon hold up to 1 MB for each request ahead, so 16 MB for a connection whose budget is 256 KB. By reading, nine such clients exceed the 144 MB of a small VM, and callers of the whole VM would have seen it end.

An attempt of an idempotent request buffers answers of up to 1 MB whole, and a run is polled whether or not the budget is full. The limit is now a property of the request (RunOptions::buffered_bytes): 64 KB for requests ahead, 1 MB as before for others. No request is started ahead while the budget is full.

A body that is polled behind its end is no longer taken for failed, and one more frame is polled at a request's turn: answers over 64 KB are not complete before, and the time of their route may have passed.

--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -33,8 +33,6 @@
     wire::{self, Attempt, EgressOutcome, EgressReport, NotRun},
 };
 
-/// Size up to which an answer is buffered until it is complete.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 1024 * 1024;
 /// Time between checks of a committed request that has no answer yet. It is
 /// multiplied by the number of checks without a reply.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -437,7 +435,7 @@
         service: Duration,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
-        let body = match buffer_body(body, MAX_BUFFERED_ANSWER_BYTES).await {
+        let body = match buffer_body(body, self.options().buffered_bytes).await {
             Ok(BufferedBody::Complete(bytes)) => full_body(bytes),
             Ok(BufferedBody::Partial(first, rest)) => PrefixedBody::new(first, rest).boxed_unsync(),
             Err(_) => return AttemptResult::Ended(AttemptEnd::Truncated, None),
--- a/crates/serve/src/caller/ahead.rs
+++ b/crates/serve/src/caller/ahead.rs
@@ -200,7 +200,9 @@
             let host = single_host(&head.headers);
             ingress.may_run_ahead(&head.method, &head.uri, host.as_ref())
         };
-        while let Some(head) = parts.plan.next_ahead(true, may_run) {
+        while !self.budget.is_full()
+            && let Some(head) = parts.plan.next_ahead(true, may_run)
+        {
             let (method, uri) = (head.method.clone(), head.uri.clone());
             let mut request = Request::new(empty_body());
             *request.method_mut() = head.method;
@@ -209,7 +211,7 @@
             let ingress = Arc::clone(ingress);
             ingress.metrics.ahead_requests.inc();
             let codec = Arc::clone(&ingress.codec);
-            let answer = Box::pin(async move { ingress.serve(request).await });
+            let answer = Box::pin(async move { ingress.serve_ahead(request).await });
             let run = AheadRun::new(method, uri, answer, self.budget.clone(), codec);
             parts.runs.push_back(run);
         }
--- a/crates/serve/src/caller/runs.rs
+++ b/crates/serve/src/caller/runs.rs
@@ -90,37 +90,33 @@
 
     /// Buffers frames while the budget allows it.
     fn poll_buffer(&mut self, context: &mut Context<'_>) {
-        while let Some(rest) = self.rest.as_mut().filter(|_| !self.budget.is_full()) {
-            let Poll::Ready(frame) = Pin::new(rest).poll_frame(context) else {
-                return;
-            };
-            match &frame {
-                Some(Ok(frame)) => {
-                    let bytes = frame.data_ref().map_or(0, Bytes::len);
-                    self.buffered += bytes;
-                    self.budget.add(bytes);
-                }
-                _ => self.rest = None,
-            }
-            self.frames.extend(frame);
+        while !self.budget.is_full() && self.poll_rest(context) {}
+    }
+
+    /// Buffers the next frame. Returns whether there was one.
+    fn poll_rest(&mut self, context: &mut Context<'_>) -> bool {
+        // A body with a time limit fails when it is polled late, even behind its end.
+        let Some(rest) = self.rest.as_mut().filter(|rest| !rest.is_end_stream()) else {
+            self.rest = None;
+            return false;
+        };
+        let Poll::Ready(frame) = Pin::new(rest).poll_frame(context) else {
+            return false;
+        };
+        if !matches!(frame, Some(Ok(_))) {
+            self.rest = None;
         }
+        let bytes = frame.as_ref().map_or(0, data_length);
+        self.buffered += bytes;
+        self.budget.add(bytes);
+        self.frames.extend(frame);
+        true
     }
 
     /// Returns why the body has failed, if it has before its first byte is passed on.
     fn failure(&mut self, context: &mut Context<'_>) -> Option<FailedOutcome> {
         // It may have failed while the budget did not allow to poll it.
-        if self.frames.is_empty()
-            && let Some(rest) = &mut self.rest
-            && let Poll::Ready(frame) = Pin::new(rest).poll_frame(context)
-        {
-            if !matches!(frame, Some(Ok(_))) {
-                self.rest = None;
-            }
-            let bytes = frame.as_ref().map_or(0, data_length);
-            self.buffered += bytes;
-            self.budget.add(bytes);
-            self.frames.extend(frame);
-        }
+        self.poll_rest(context);
         match self.frames.back() {
             Some(Err(error)) if error.is::<DeadlinePassed>() => Some(FailedOutcome::UnknownTimeout),
             Some(Err(_)) => Some(FailedOutcome::Unknown),
@@ -264,7 +260,16 @@
 mod tests {
     use super::*;
 
-    struct Broken(u8);
+    /// Body of parts of five bytes that breaks off before the last of them.
+    struct Broken {
+        polls: u64,
+        parts: u64,
+    }
+
+    /// Returns a body that breaks off before the last of this number of parts.
+    fn broken(parts: u64) -> ProxyBody {
+        Broken { polls: 0, parts }.boxed_unsync()
+    }
 
     impl Body for Broken {
         type Data = Bytes;
@@ -274,19 +279,16 @@
             mut self: Pin<&mut Self>,
             _: &mut Context<'_>,
         ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-            self.0 += 1;
-            Poll::Ready(match self.0 {
-                1 => Some(Ok(Frame::data(Bytes::from_static(b"abcde")))),
-                2 => Some(Err("cut".into())),
-                _ => None,
+            self.polls += 1;
+            Poll::Ready(match self.polls.cmp(&self.parts) {
+                std::cmp::Ordering::Less => Some(Ok(Frame::data(Bytes::from_static(b"abcde")))),
+                std::cmp::Ordering::Equal => Some(Err("cut".into())),
+                std::cmp::Ordering::Greater => None,
             })
         }
 
         fn size_hint(&self) -> SizeHint {
-            match self.0 {
-                0 => SizeHint::with_exact(10),
-                _ => SizeHint::with_exact(5),
-            }
+            SizeHint::with_exact(5 * (self.parts - self.polls.min(self.parts - 1)))
         }
     }
 
@@ -294,7 +296,7 @@
     /// answer would follow inside of it.
     #[test]
     fn broken_length() {
-        let mut body = AheadBody::new(Broken(0).boxed_unsync(), AheadBytes::new(100));
+        let mut body = AheadBody::new(broken(2), AheadBytes::new(100));
         assert_eq!(body.size_hint().exact(), Some(10));
         let waker = futures::task::noop_waker();
         body.poll_buffer(&mut Context::from_waker(&waker));
@@ -308,8 +310,8 @@
         use tokio::io::{AsyncReadExt, AsyncWriteExt};
         let (client, server) = tokio::io::duplex(4096);
         let service = hyper::service::service_fn(move |_request| async move {
-            let answer = Response::builder().header("content-length", 10);
-            let answer = answer.body(Broken(0).boxed_unsync()).unwrap();
+            let answer = Response::builder().header("content-length", 15);
+            let answer = answer.body(broken(3)).unwrap();
             let answer: BoxFuture<'static, _> = Box::pin(async move { answer });
             let (uri, codec) = (Uri::from_static("/"), Arc::new(crate::edge::DefaultCodec));
             let budget = AheadBytes::new(budget);
@@ -352,7 +354,7 @@
     /// The connection has to end where a body broke off, and carry no further answer.
     #[tokio::test]
     async fn broken_on_wire() {
-        // The budget is full before the error is seen.
+        // The budget is full before the error is seen, also when its turn comes.
         let (text, open) = broken_answers(5).await;
         assert!(text.matches("HTTP/1.1 200").count() <= 1, "{text}");
         assert!(!text.contains("HTTP/1.1 502"), "{text}");
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -47,6 +47,11 @@
 /// Maximum size of a request body that is buffered so that it can be sent
 /// again, in bytes.
 const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
+/// Size up to which an answer is buffered until it is complete.
+const MAX_BUFFERED_ANSWER_BYTES: usize = 1024 * 1024;
+/// The same for a request that runs before its turn. With 16 such requests on each
+/// connection, a few clients that do not read could fill the memory of a small VM.
+const MAX_BUFFERED_AHEAD_BYTES: usize = 64 * 1024;
 
 /// The ingress of a daemon, with the shared state that it uses.
 #[derive(Debug)]
@@ -133,11 +138,27 @@
 impl Ingress {
     /// Answers a caller's request.
     pub async fn serve(self: &Arc<Self>, request: Request<ProxyBody>) -> Response<ProxyBody> {
+        self.serve_with(request, MAX_BUFFERED_ANSWER_BYTES).await
+    }
+
+    /// Answers a caller's request that runs before its turn. What an attempt buffers of
+    /// its answer is not counted in the budget of the connection, so it is less.
+    pub async fn serve_ahead(self: &Arc<Self>, request: Request<ProxyBody>) -> Response<ProxyBody> {
+        self.serve_with(request, MAX_BUFFERED_AHEAD_BYTES).await
+    }
+
+    /// Answers a caller's request. An answer of at most `buffered_bytes` is buffered
+    /// until it is complete.
+    async fn serve_with(
+        self: &Arc<Self>,
+        request: Request<ProxyBody>,
+        buffered_bytes: usize,
+    ) -> Response<ProxyBody> {
         let id = self.codec.request_id(request.headers());
         let id = id.and_then(|id| id.to_str().map(str::to_owned).ok());
         let id = id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
         let trace = Arc::new(RequestTrace::new(id));
-        let result = self.try_serve(request, &trace).await;
+        let result = self.try_serve(request, &trace, buffered_bytes).await;
         self.record_end(&trace, &result);
         if self.may_be_nested_call(&trace) && !is_success(&result) {
             self.egress.record_failed_call();
@@ -209,6 +230,7 @@
         self: &Arc<Self>,
         request: Request<ProxyBody>,
         trace: &Arc<RequestTrace>,
+        buffered_bytes: usize,
     ) -> Result<Response<ProxyBody>, Refusal> {
         let started = self.clock.now();
         let (mut head, body) = request.into_parts();
@@ -251,6 +273,7 @@
             internal: route.class == TrafficClass::Internal,
             bulk: route.bulk,
             idempotent: route::is_idempotent(head.method.as_str(), route.idempotent),
+            buffered_bytes,
             target: route.terms.target_ms.map_or(deadline, |millis| {
                 deadline.min(started + Duration::from_millis(u64::from(millis)))
             }),
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -62,6 +62,9 @@
     pub bulk: bool,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Size up to which the answer is buffered until it is complete, if the request may
+    /// run more than once.
+    pub buffered_bytes: usize,
     /// Time of the target latency; a later answer is worth less to the caller.
     pub target: MonoTime,
     /// Time at which the caller gives up.
