A slot is released when a reader stops after a wait

An answer over 1 MB without a timeout that runs ahead on a pipelined connection could keep its slot for as long as the client read the answers before it slowly. Callers elsewhere would have seen the server full.

The task that watches a body restarted its wait whenever the last poll of the body was pending, and relied on the reader to come back. A connection whose buffer for answers ahead is full does not. The time now also counts from a poll that was pending. A reader that does come back is ended by the timer inside the body first, as before.

abandoned_wait failed before: the body was still held after 2 s at a limit of 100 ms.

--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -40,7 +40,7 @@
 struct WatchState {
     /// The body; `None` once it was cut.
     inner: Option<ProxyBody>,
-    /// Time of the last part, if the next one was not asked for since.
+    /// Time at which the reader last asked, if there is more to read.
     unread_since: Option<Instant>,
 }
 
@@ -107,7 +107,10 @@
         };
         let polled = Pin::new(&mut *inner).poll_frame(context);
         let more = matches!(&polled, Poll::Ready(Some(Ok(_)))) && !inner.is_end_stream();
-        state.unread_since = more.then(Instant::now);
+        // A reader that waits for a part may not come back for it, as when what it may
+        // buffer ahead is full.
+        let waits = polled.is_pending();
+        state.unread_since = (more || waits).then(Instant::now);
         drop(state);
         match &polled {
             Poll::Ready(_) if more => self.start_watch(),
@@ -179,3 +182,53 @@
 fn lock(state: &SharedState) -> MutexGuard<'_, WatchState> {
     state.lock().unwrap_or_else(|poison| poison.into_inner())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Body of one part and a wait without an end.
+    struct Started {
+        is_waiting: bool,
+        _held: Arc<()>,
+    }
+
+    impl Body for Started {
+        type Data = Bytes;
+        type Error = BodyError;
+
+        fn poll_frame(
+            mut self: Pin<&mut Self>,
+            _: &mut Context<'_>,
+        ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+            match std::mem::replace(&mut self.is_waiting, true) {
+                false => Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(b"a"))))),
+                true => Poll::Pending,
+            }
+        }
+    }
+
+    /// A reader that stops after it has waited for a part must not hold the slot.
+    #[tokio::test]
+    async fn abandoned_wait() {
+        use http_body_util::BodyExt;
+        let held = Arc::new(());
+        let limits = BodyLimits {
+            server: "s".parse().expect("id"),
+            unread: Duration::from_millis(100),
+            deadline: None,
+        };
+        let inner = Started {
+            is_waiting: false,
+            _held: Arc::clone(&held),
+        }
+        .boxed_unsync();
+        let mut body = WatchedBody::new(inner, limits, Arc::new(TaskGroup::new()));
+        let waker = futures::task::noop_waker();
+        let mut context = Context::from_waker(&waker);
+        assert!(Pin::new(&mut body).poll_frame(&mut context).is_ready());
+        assert!(Pin::new(&mut body).poll_frame(&mut context).is_pending());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(Arc::strong_count(&held), 1);
+    }
+}
