Servers that reject are not part of the pool that the floor applies to

While many servers of a service rejected requests, callers got requests sent to servers that this daemon had ejected as failing: of ten servers with a floor of 50%, six reject, and one of the other four was returned to rotation.

The rejecting ones counted as ejected. They are now left out of the number, as servers of evacuated zones are.

floor_without_rejecting failed before: plans-0, which is ejected, was chosen.

--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -104,7 +104,8 @@
             .partition(|state| is_avoided(rejections.excess(state)));
         let rules = PoolRules {
             rejections,
-            size: states.len(),
+            // The rejecting servers are no candidates, so they don't count as ejected.
+            size: states.len() - rejecting.len(),
             floor: self.service.floor,
             reach,
             zone_penalty,
@@ -201,7 +202,7 @@
 struct PoolRules {
     /// Rejections that are usual in the pool.
     rejections: PoolRejections,
-    /// Number of usable servers in the pool.
+    /// Number of servers in the pool that the floor applies to.
     size: usize,
     /// Share of the pool that stays in rotation.
     floor: Percent,
--- a/crates/serve/src/pool/scope_tests.rs
+++ b/crates/serve/src/pool/scope_tests.rs
@@ -397,3 +397,22 @@
             .is_empty()
     );
 }
+
+// Guards against a floor that is computed with the servers that reject requests, which
+// are not among the candidates: of ten servers at 50%, six reject, and of the other four
+// one may be ejected. If all ten were counted, it would return to rotation.
+#[test]
+fn floor_without_rejecting() {
+    let ingress = Ingress::new(1, 10, 50);
+    let pool = ingress.pool();
+    for server in &pool.servers[4..] {
+        server.record_rejections(Percent(100));
+    }
+    pool.servers[0].set_weight(0.0);
+    assert_eq!(ingress.chosen_names(), ["plans-1", "plans-2", "plans-3"]);
+    // The floor holds among the four: with three of them ejected, all return.
+    pool.servers[1].set_weight(0.0);
+    pool.servers[2].set_weight(0.0);
+    let expected = ["plans-0", "plans-1", "plans-2", "plans-3"];
+    assert_eq!(ingress.chosen_names(), expected);
+}
