No guard of the settings is held while a connection is open

Callers would have seen slightly slower requests on a daemon with many open connections, and changed settings left the replaced ones in memory.

A connection of a caller kept the guard of the settings that it read at its start until its end, minutes later. A thread has eight fast places for guards of all shared values; while they are taken, each read on the request path takes the slow way. The connection now takes what it needs and drops the guard. Reading a request's body held one across its wait, too.

By reading; no test covers it, since the number of guards is not visible.

--- a/crates/serve/src/caller/connection.rs
+++ b/crates/serve/src/caller/connection.rs
@@ -100,10 +100,18 @@
         let state = &member.state;
         let head_bytes = self.limits.get().head_bytes;
         let buffer_bytes = head_bytes.max(MIN_BUFFER_BYTES);
-        let budgets = &self.ingress.settings.load().budgets;
-        let ahead = &SentAhead::new(budgets, buffer_bytes);
+        // A guard of the settings must not be kept for the life of the connection: each
+        // thread has only a few, and without one, all further reads are slower.
+        let (ahead, stall_timeout) = {
+            let budgets = &self.ingress.settings.load().budgets;
+            (
+                SentAhead::new(budgets, buffer_bytes),
+                budgets.stall_timeout(),
+            )
+        };
+        let ahead = &ahead;
         let stream = CallerStream::new(stream, state, ahead);
-        let stream = LimitedWriter::new(stream, budgets.stall_timeout());
+        let stream = LimitedWriter::new(stream, stall_timeout);
         let first_request = Notify::new();
         let requested = AtomicBool::new(false);
         let service = service_fn(|request: Request<Incoming>| {
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -414,8 +414,11 @@
         if body.is_end_stream() {
             return Ok((full_body(Bytes::new()), Some(Bytes::new())));
         }
-        let budgets = &self.settings.load().budgets;
-        let (limit, stall) = (budgets.head_timeout(), budgets.stall_timeout());
+        // The guard of the settings must not be kept while the body arrives.
+        let (limit, stall) = {
+            let budgets = &self.settings.load().budgets;
+            (budgets.head_timeout(), budgets.stall_timeout())
+        };
         match tokio::time::timeout(limit, buffer_body(body, MAX_BUFFERED_BODY_BYTES)).await {
             Ok(Ok(BufferedBody::Complete(bytes))) => Ok((full_body(bytes.clone()), Some(bytes))),
             Ok(Ok(BufferedBody::Partial(first, rest))) => {
