A connection whose peer reads the end of an answer is not idle

A client that read a large answer slowly could get it truncated although its request had run: when a daemon was short of connections it closed those that were idle, also if hundreds of kilobytes of the last answer were still to be written. A pause of the client for the idle timeout had the same effect.

A request counts as ended when the HTTP library has taken the last part of its answer. The connection now also remembers that its last write was blocked, and is neither idle nor closed while it is. The stall timeout closes the connection of a peer that takes nothing.

--- a/crates/serve/src/caller/state.rs
+++ b/crates/serve/src/caller/state.rs
@@ -27,7 +27,11 @@
     /// Time of the first byte of a head that is not complete, in milliseconds;
     /// [`NEVER`] if there is none.
     head_since: AtomicU64,
-    /// Whether the connection is to be closed unless a request is in flight.
+    /// Whether the peer has not taken all that is to be written. Even behind the end of
+    /// an answer, hundreds of kilobytes of it may not be written yet.
+    blocked: AtomicBool,
+    /// Whether the connection is to be closed unless a request or the end of an answer
+    /// is in flight.
     closing: AtomicBool,
     waker: AtomicWaker,
 }
@@ -39,6 +43,7 @@
             clock,
             idle_since: AtomicU64::new(NEVER),
             head_since: AtomicU64::new(NEVER),
+            blocked: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             waker: AtomicWaker::new(),
         };
@@ -78,16 +83,27 @@
         }
     }
 
+    /// Records whether the peer takes no bytes although some are to be written.
+    pub fn set_blocked(&self, blocked: bool) {
+        self.blocked.store(blocked, Ordering::Relaxed);
+    }
+
+    /// Whether the peer takes no bytes although some are to be written.
+    fn is_blocked(&self) -> bool {
+        self.blocked.load(Ordering::Relaxed)
+    }
+
     /// Whether a request is in flight.
     pub fn is_busy(&self) -> bool {
         self.idle_since.load(Ordering::Relaxed) == NEVER
     }
 
-    /// Returns the time since which the connection is idle; `None` while a request
-    /// or its head is in flight.
+    /// Returns the time since which the connection is idle; `None` while a request or
+    /// its head is in flight, or the end of an answer. The limit on writes closes the
+    /// connection of a peer that takes nothing.
     pub fn idle_since(&self) -> Option<MonoTime> {
         match self.head_since.load(Ordering::Relaxed) {
-            NEVER => time(self.idle_since.load(Ordering::Relaxed)),
+            NEVER if !self.is_blocked() => time(self.idle_since.load(Ordering::Relaxed)),
             _ => None,
         }
     }
@@ -97,7 +113,7 @@
         time(self.head_since.load(Ordering::Relaxed))
     }
 
-    /// Has the connection closed unless a request is in flight.
+    /// Has the connection closed unless a request or the end of an answer is in flight.
     pub fn close(&self) {
         self.closing.store(true, Ordering::Release);
         self.waker.wake();
@@ -111,7 +127,7 @@
             return false;
         }
         self.closing.store(false, Ordering::Relaxed);
-        !self.is_busy()
+        !self.is_busy() && !self.is_blocked()
     }
 }
 
