A token of a cold server is taken when a connection is ready

A server that has just started, whose first connections open slowly, could get far more requests at once than the rate that its service names for cold servers; callers would have seen those slow or rejected.

The request is now counted in the condition that is checked when a connection is ready, together with whether the server has withdrawn. At commit, the egress only checks the reservation again. A request that moves on to another connection, because the first one was closed, is counted once.

counted_when_ready and counted_once failed before: the second request was refused although the first had no connection, and a second count of the same request was refused.

--- a/crates/serve/src/egress/cold.rs
+++ b/crates/serve/src/egress/cold.rs
@@ -54,14 +54,29 @@
 pub(super) struct ColdPass {
     server: Arc<EgressServer>,
     reserved: bool,
+    /// Whether the request was counted, and whether it may be sent.
+    sent: Option<bool>,
 }
 
 impl ColdPass {
     /// Counts the request as sent, and returns whether it may be. A server may have
     /// become cold since the permission was given.
+    ///
+    /// A request that is passed to another connection, because the first one was
+    /// closed, is counted once.
     pub(super) fn send(&mut self) -> bool {
+        if let Some(sent) = self.sent {
+            return sent;
+        }
         let reserved = std::mem::take(&mut self.reserved);
-        self.server.count_cold(reserved)
+        let sent = self.server.count_cold(reserved);
+        self.sent = Some(sent);
+        sent
+    }
+
+    /// Whether the request was refused when it was to be sent.
+    pub(super) fn is_refused(&self) -> bool {
+        self.sent == Some(false)
     }
 }
 
@@ -149,6 +164,7 @@
         let pass = |reserved| ColdPass {
             server: Arc::clone(self),
             reserved,
+            sent: None,
         };
         match decision {
             ColdDecision::Warm => Some(pass(false)),
@@ -208,26 +224,13 @@
     ///
     /// Returns [`NotRun::Cold`] as [`EgressHub::reserve_cold`] does.
     pub(super) fn renew_cold(&self, pass: ColdPass) -> Result<ColdPass, NotRun> {
+        self.check_suspension(&pass.server);
         match !pass.reserved && pass.server.is_cold() {
             true => self.reserve_cold(&pass.server),
             false => Ok(pass),
         }
     }
 
-    /// Counts a request that is sent now.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`NotRun::Cold`] if the server has become cold since the permission was
-    /// given, and the request does not fit its rate.
-    pub(super) fn send_cold(&self, pass: &mut ColdPass) -> Result<(), NotRun> {
-        self.check_suspension(&pass.server);
-        match pass.send() {
-            true => Ok(()),
-            false => Err(self.refuse_cold()),
-        }
-    }
-
     /// Has a server that is used for the first time count as cold if this daemon has just
     /// started: an earlier process may have sent requests to it in the same second.
     pub(super) fn begin_cold(&self, server: &EgressServer) {
@@ -237,7 +240,7 @@
     }
 
     /// Counts a refusal and returns its reason.
-    fn refuse_cold(&self) -> NotRun {
+    pub(super) fn refuse_cold(&self) -> NotRun {
         self.metrics.cold_refused.inc();
         NotRun::Cold
     }
--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -9,7 +9,10 @@
 use hyper::{Request, Response, body::Body, header::HeaderValue};
 use ids::MonoTime;
 
-use super::{EgressAnswer, lock_calls, notice::NoticeSource, server::EgressServer, slot::HeldSlot};
+use super::{
+    EgressAnswer, cold::ColdPass, lock_calls, notice::NoticeSource, server::EgressServer,
+    slot::HeldSlot,
+};
 use crate::{
     body::{BodyEnd, ObservedBody, ProxyBody, TimeoutBody},
     edge::{AnswerKind, DispatchMetadata, shed_backoff},
@@ -37,7 +40,9 @@
         let request_id = self.codec.request_id(request.headers());
         self.evidence.recent().record(started, &attempt.from);
         let slow_limit = Duration::from_micros(attempt.slow_limit_us);
-        let (result, overdue) = self.await_head(request, deadline, slow_limit).await;
+        let (result, overdue) = self
+            .await_head(request, deadline, slow_limit, &mut held.cold)
+            .await;
         let service = self.clock.now().since(started);
         match result {
             Some(Ok(response)) => {
@@ -80,7 +85,14 @@
             }
             Some(Err(SendError::Withheld)) => {
                 held.ticket.sent = false;
-                self.not_run(self.withdrawal().unwrap_or(NotRun::Leaving))
+                match held.cold.is_refused() {
+                    true => {
+                        // Releases the slot before the load is reported.
+                        drop(held);
+                        self.not_run(NotRun::Cold)
+                    }
+                    false => self.not_run(self.withdrawal().unwrap_or(NotRun::Leaving)),
+                }
             }
             Some(Err(SendError::Unsent(_))) => {
                 held.ticket.sent = false;
@@ -111,13 +123,16 @@
         request: Request<ProxyBody>,
         deadline: MonoTime,
         slow_limit: Duration,
+        cold: &mut ColdPass,
     ) -> (Option<Result<Response<ProxyBody>, SendError>>, bool) {
         let started = self.clock.now();
         // The server may have begun to leave while the request was on its way or
-        // waited for a connection.
+        // waited for a connection. What is sent to a cold server is counted only now:
+        // new connections can take seconds to open, and what was counted meanwhile
+        // would reach the server at once.
         let sent = self
             .connections
-            .send_if(request, || self.withdrawal().is_none());
+            .send_if(request, || self.withdrawal().is_none() && cold.send());
         tokio::pin!(sent);
         // Times at which the request counts as slow and then as stuck. The next
         // one is last.
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -2,6 +2,8 @@
 //! requests that are committed to them.
 
 mod cold;
+#[cfg(test)]
+mod cold_tests;
 mod dispatch;
 mod evacuation;
 mod notice;
@@ -287,9 +289,13 @@
         match committed {
             // The slot is released. The grant may be older than the evacuation.
             Ok(_) if self.is_evacuated() => server.not_run(NotRun::Evacuated),
-            Ok(mut held) => match self.send_cold(&mut held.cold) {
-                Ok(()) => {
+            Ok(HeldSlot { ticket, pass, cold }) => match self.renew_cold(cold) {
+                Ok(cold) => {
+                    let held = HeldSlot { ticket, pass, cold };
                     let answer = server.dispatch(attempt, request, deadline, held).await;
+                    if answer.report.outcome == EgressOutcome::NotRun(NotRun::Cold) {
+                        self.refuse_cold();
+                    }
                     if attempt.from != self.view.vm {
                         self.offers().record_answer(&key);
                     }
@@ -297,7 +303,7 @@
                 }
                 Err(reason) => {
                     // Releases the slot before the load is reported.
-                    drop(held);
+                    drop((ticket, pass));
                     server.not_run(reason)
                 }
             },
--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -192,7 +192,8 @@
     }
 
     /// Sends a request like [`ConnectionPool::send`], if `may_send` still holds once
-    /// a connection is ready for it.
+    /// a connection is ready for it. It is called once more for each connection that
+    /// turns out to be closed.
     ///
     /// # Errors
     ///
@@ -201,11 +202,11 @@
     pub async fn send_if(
         self: &Arc<Self>,
         request: Request<ProxyBody>,
-        may_send: impl Fn() -> bool,
+        mut may_send: impl FnMut() -> bool,
     ) -> Result<Response<ProxyBody>, SendError> {
         let mut request = request;
         while let Some(connection) = self.take_idle() {
-            match self.send_on(connection, request, &may_send).await {
+            match self.send_on(connection, request, &mut may_send).await {
                 Ok(response) => return Ok(response),
                 Err(SendFailure::Final(error)) => return Err(error),
                 // The other side closed the idle connection before any of the
@@ -218,7 +219,7 @@
             }
         }
         let connection = self.connect().await?;
-        match self.send_on(connection, request, &may_send).await {
+        match self.send_on(connection, request, &mut may_send).await {
             Ok(response) => Ok(response),
             Err(SendFailure::Final(error)) => Err(error),
             Err(SendFailure::Returned(_)) => Err(SendError::Unsent(
@@ -320,7 +321,7 @@
         self: &Arc<Self>,
         mut connection: IdleConnection,
         request: Request<ProxyBody>,
-        may_send: impl Fn() -> bool,
+        may_send: impl FnOnce() -> bool,
     ) -> Result<Response<ProxyBody>, SendFailure> {
         match timeout(READY_TIMEOUT, connection.sender.ready()).await {
             Ok(Ok(())) => {}
