Tests: crowds of misbehaving clients at each entry point

Callers of a daemon could fill the memory of its machine: nothing bounds what many connections hold together. Crowd and bounds are fixed here, before any change of the product.

--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -94,11 +94,25 @@
         platform: SocketAddr,
         secret: &str,
         log: Stdio,
+    ) -> Self {
+        Self::start_limited(index, zones, addresses, platform, secret, log, "")
+    }
+
+    /// Starts a daemon like [`Self::start_logged`], with further fields of its
+    /// budgets, each with a leading comma.
+    pub fn start_limited(
+        index: usize,
+        zones: usize,
+        addresses: FreeAddresses,
+        platform: SocketAddr,
+        secret: &str,
+        log: Stdio,
+        budgets: &str,
     ) -> Self {
         let settings = format!(
             r#"{{ "vm": "vm-{index}", "zone": "zone-{}", // a comment
                 "ingress": "{}", "peer": "{}", "admin": "{}", "platform": "{platform}",
-                "secret": "{secret}", "log": {{ "level": "warn" }}, "budgets": {{ "threads": {} }} }}"#,
+                "secret": "{secret}", "log": {{ "level": "warn" }}, "budgets": {{ "threads": {}{budgets} }} }}"#,
             index % zones,
             addresses.ingress,
             addresses.peer,
@@ -173,6 +187,26 @@
         kilobytes.unwrap_or(0) * 1_024
     }
 
+    /// Returns the largest resident memory that the process has had, in bytes; 0 if
+    /// it can't be read.
+    pub fn peak_memory(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let text = text.unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1_024
+    }
+
+    /// Returns the number of open descriptors, or 0 if it can't be read.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.id())).map_or(0, Iterator::count)
+    }
+
+    /// Whether the process still runs.
+    pub fn is_alive(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Returns the status and text of a page of the admin address, or `None` if
     /// the request fails.
     pub async fn admin_page(&self, path: &str) -> Option<(StatusCode, String)> {
