Serve: an account of the memory that clients hold, and a limit of peers' connections

Callers could fill the memory of a VM: 600 clients, a fifth of the connections of a VM of 160 MB, took 73 to 129 MB with bodies that stop short, heads of many fields, or answers that they do not read. Nothing bounded what connections hold together. The peers' port accepted 100,000 connections.

The module budget counts what clients hold against half of budgets.memory_mb. What does not fit is refused with 503 and Retry-After (not run), or its connection is closed; the longest idle connections are closed first, and small charges keep a reserve. budgets.descriptors bounds the connections from peers. Both are 0, without a bound, unless they are set; the template of the deployments does not set them yet.

The tests of hostile_clients set both to a fifth of a VM's; their crowd and bounds are unchanged.

--- a/crates/serve/src/answer.rs
+++ b/crates/serve/src/answer.rs
@@ -37,6 +37,8 @@
     BodyOverrun,
     /// The body, or the first part of a large one, did not arrive in time.
     SlowRequest,
+    /// Clients hold as much memory as they may, so the request can't be held.
+    NoMemory,
     /// No backend server of the service is in rotation.
     PoolDown,
     /// No backend server of the service is in the regions that the request may be run
@@ -62,7 +64,8 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge | Self::BodyOverrun => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
-            Self::PoolDown
+            Self::NoMemory
+            | Self::PoolDown
             | Self::OutsideHomes
             | Self::NoHome
             | Self::NotReady
@@ -114,6 +117,7 @@
             Self::BadRequest => f.write_str("bad request"),
             Self::BodyTooLarge | Self::BodyOverrun => f.write_str("body too large"),
             Self::SlowRequest => f.write_str("request too slow"),
+            Self::NoMemory => f.write_str("no memory for further requests"),
             Self::PoolDown => f.write_str("no backend server in rotation"),
             Self::OutsideHomes => f.write_str("no backend server in the allowed regions"),
             Self::NotReady => f.write_str("no configuration yet"),
--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -21,7 +21,7 @@
     search::{GrantedSlot, OpenOffers},
 };
 use crate::{
-    body::{BufferedBody, PrefixedBody, ProxyBody, buffer_body, full_body},
+    body::{BufferedBody, ChargedBody, PrefixedBody, ProxyBody, buffer_body_if, full_body},
     control::ControlEvent,
     egress::EgressAnswer,
     hop::SearchChannel,
@@ -437,11 +437,18 @@
         service: Duration,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
-        let body = match buffer_body(body, MAX_BUFFERED_ANSWER_BYTES).await {
+        let mut charge = self.ingress.account.open();
+        // The buffer doubles when it grows.
+        let may_hold = |bytes| charge.grow(2 * bytes);
+        let body = match buffer_body_if(body, MAX_BUFFERED_ANSWER_BYTES, may_hold).await {
             Ok(BufferedBody::Complete(bytes)) => full_body(bytes),
             Ok(BufferedBody::Partial(first, rest)) => PrefixedBody::new(first, rest).boxed_unsync(),
             Err(_) => return AttemptResult::Ended(AttemptEnd::Truncated, None),
         };
+        let body = match self.ingress.account.is_bounded() {
+            true => ChargedBody::new(body, charge).boxed_unsync(),
+            false => body,
+        };
         let failed = head.status.is_server_error();
         let response = Box::new(Response::from_parts(head, body));
         match failed {
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -3,7 +3,7 @@
 use std::{
     future::Future,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -11,6 +11,8 @@
 use http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody};
 use hyper::body::{Body, Frame, SizeHint};
 
+use crate::budget::ByteCharge;
+
 /// Error of a body that ends before it is complete.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -235,6 +237,64 @@
     }
 }
 
+/// Maximum size of a piece that a [`ChargedBody`] passes on.
+const MAX_PIECE_BYTES: usize = 16_384;
+
+/// A body whose bytes are charged until it is dropped. It passes its bytes on in
+/// pieces: the HTTP library holds a whole frame beyond the limit of its buffer.
+pub struct ChargedBody {
+    inner: ProxyBody,
+    /// Rest of the last frame.
+    rest: Bytes,
+    _charge: ByteCharge,
+}
+
+impl ChargedBody {
+    /// Keeps `charge` until `inner` is dropped.
+    pub fn new(inner: ProxyBody, charge: ByteCharge) -> Self {
+        Self {
+            inner,
+            rest: Bytes::new(),
+            _charge: charge,
+        }
+    }
+}
+
+impl Body for ChargedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.rest.is_empty() {
+            let frame = match ready!(Pin::new(&mut self.inner).poll_frame(cx)) {
+                Some(Ok(frame)) => frame,
+                end => return Poll::Ready(end),
+            };
+            match frame.into_data() {
+                Ok(data) => self.rest = data,
+                Err(frame) => return Poll::Ready(Some(Ok(frame))),
+            }
+        }
+        let length = self.rest.len().min(MAX_PIECE_BYTES);
+        let piece = self.rest.split_to(length);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty() && self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self.inner.size_hint().exact() {
+            Some(left) => SizeHint::with_exact(left + self.rest.len() as u64),
+            None => SizeHint::default(),
+        }
+    }
+}
+
 /// A body that was read up to a maximum size.
 pub enum BufferedBody {
     /// All bytes of the body.
@@ -249,18 +309,33 @@
 ///
 /// Returns the error of the body if it fails before it ends or exceeds
 /// `max_bytes`.
-pub async fn buffer_body(mut body: ProxyBody, max_bytes: usize) -> Result<BufferedBody, BodyError> {
+pub async fn buffer_body(body: ProxyBody, max_bytes: usize) -> Result<BufferedBody, BodyError> {
+    buffer_body_if(body, max_bytes, |_| true).await
+}
+
+/// Buffers a body like [`buffer_body`], and no further once `may_hold` has returned
+/// false for the number of bytes that have just arrived.
+///
+/// # Errors
+///
+/// Returns the error of the body.
+pub async fn buffer_body_if(
+    mut body: ProxyBody,
+    max_bytes: usize,
+    mut may_hold: impl FnMut(usize) -> bool,
+) -> Result<BufferedBody, BodyError> {
     let mut buffered = bytes::BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             // Trailers are not forwarded.
             continue;
         };
+        let may_hold = may_hold(data.len());
         if buffered.is_empty() && body.is_end_stream() {
             return Ok(BufferedBody::Complete(data));
         }
         buffered.extend_from_slice(&data);
-        if buffered.len() > max_bytes {
+        if !may_hold || buffered.len() > max_bytes {
             return Ok(BufferedBody::Partial(buffered.freeze(), body));
         }
     }
--- a/crates/serve/src/caller/ahead.rs
+++ b/crates/serve/src/caller/ahead.rs
@@ -21,7 +21,7 @@
     runs::{AheadBytes, AheadRun},
     state::CallerState,
 };
-use crate::{body::empty_body, ingress::Ingress, settings::Budgets};
+use crate::{body::empty_body, budget::ByteAccount, ingress::Ingress, settings::Budgets};
 
 /// What is needed to tell whether requests may run ahead of the one in flight.
 #[derive(Debug)]
@@ -57,7 +57,7 @@
 impl SentAhead {
     /// Creates the state of a connection that has just been accepted. `head_bytes`
     /// is the maximum size of a head.
-    pub fn new(budgets: &Budgets, head_bytes: usize) -> Self {
+    pub fn new(budgets: &Budgets, head_bytes: usize, account: Arc<ByteAccount>) -> Self {
         let mut plan = AheadPlan::new(AheadLimits {
             requests: budgets.requests_ahead,
             held_bytes: head_bytes,
@@ -73,7 +73,7 @@
                 fed: 0,
             }),
             active: AtomicBool::new(false),
-            budget: AheadBytes::new(budgets.ahead_bytes),
+            budget: AheadBytes::new(budgets.ahead_bytes, account),
         }
     }
 
@@ -200,7 +200,9 @@
             let host = single_host(&head.headers);
             ingress.may_run_ahead(&head.method, &head.uri, host.as_ref())
         };
-        while let Some(head) = parts.plan.next_ahead(true, may_run) {
+        while ingress.account.has_spare()
+            && let Some(head) = parts.plan.next_ahead(true, may_run)
+        {
             let (method, uri) = (head.method.clone(), head.uri.clone());
             let mut request = Request::new(empty_body());
             *request.method_mut() = head.method;
--- a/crates/serve/src/caller/connection.rs
+++ b/crates/serve/src/caller/connection.rs
@@ -23,11 +23,16 @@
 use tokio::{net::TcpStream, sync::Notify};
 
 use super::{
-    LimitSource, ahead::SentAhead, crowd::CallerCrowd, runs::AheadRun, state::CallerState,
-    stream::CallerStream,
+    LimitSource,
+    ahead::SentAhead,
+    crowd::CallerCrowd,
+    runs::AheadRun,
+    state::CallerState,
+    stream::{CallerStream, StreamCharges},
 };
 use crate::{
     body::{BodyError, ProxyBody, box_body},
+    budget::CONNECTION_BYTES,
     ingress::Ingress,
     listener::{FIRST_REQUEST_TIME, MAX_HEAD_FIELDS},
     task::StopSignal,
@@ -84,7 +89,12 @@
     /// Creates a front without connections.
     pub fn new(ingress: Arc<Ingress>, limits: LimitSource) -> Self {
         let metrics = Arc::clone(&ingress.metrics);
-        let crowd = CallerCrowd::new(limits.clone(), ingress.clock, metrics);
+        let crowd = CallerCrowd::new(
+            limits.clone(),
+            ingress.clock,
+            metrics,
+            Arc::clone(&ingress.account),
+        );
         Self {
             ingress,
             limits,
@@ -100,9 +110,12 @@
         let state = &member.state;
         let head_bytes = self.limits.get().head_bytes;
         let buffer_bytes = head_bytes.max(MIN_BUFFER_BYTES);
+        let account = &self.ingress.account;
+        let mut connection_charge = account.open();
+        connection_charge.force(CONNECTION_BYTES);
         let budgets = &self.ingress.settings.load().budgets;
-        let ahead = &SentAhead::new(budgets, buffer_bytes);
-        let stream = CallerStream::new(stream, state, ahead);
+        let ahead = &SentAhead::new(budgets, buffer_bytes, Arc::clone(account));
+        let stream = CallerStream::new(stream, state, ahead, StreamCharges::new(account));
         let stream = LimitedWriter::new(stream, budgets.stall_timeout());
         let first_request = Notify::new();
         let requested = AtomicBool::new(false);
--- a/crates/serve/src/caller/crowd.rs
+++ b/crates/serve/src/caller/crowd.rs
@@ -12,7 +12,7 @@
 use ids::{FastMap, MonoTime};
 
 use super::{LimitSource, state::CallerState};
-use crate::{clock::MonoClock, metrics::MetricSet, trail::LineLimiter};
+use crate::{budget::ByteAccount, clock::MonoClock, metrics::MetricSet, trail::LineLimiter};
 
 /// Number of sweeps within the shortest timeout, so that a connection is closed at
 /// most one eighth of the timeout late.
@@ -32,6 +32,7 @@
     limits: LimitSource,
     clock: MonoClock,
     metrics: Arc<MetricSet>,
+    account: Arc<ByteAccount>,
     next: AtomicU64,
     connections: Mutex<FastMap<u64, Arc<CallerState>>>,
     crowded_lines: LineLimiter,
@@ -50,16 +51,28 @@
     fn drop(&mut self) {
         self.crowd.lock().remove(&self.number);
         self.crowd.metrics.connections.dec();
+        if self.state.is_unheld() {
+            self.crowd.metrics.count_closed("memory", 1);
+            if self.crowd.crowded_lines.take() {
+                log::warn!("listener: no memory for a head, closed its connection.");
+            }
+        }
     }
 }
 
 impl CallerCrowd {
     /// Creates a crowd without connections.
-    pub fn new(limits: LimitSource, clock: MonoClock, metrics: Arc<MetricSet>) -> Self {
+    pub fn new(
+        limits: LimitSource,
+        clock: MonoClock,
+        metrics: Arc<MetricSet>,
+        account: Arc<ByteAccount>,
+    ) -> Self {
         Self {
             limits,
             clock,
             metrics,
+            account,
             next: AtomicU64::new(0),
             connections: Mutex::default(),
             crowded_lines: LineLimiter::new(CROWDED_LINES_PER_S),
@@ -105,10 +118,11 @@
     }
 
     /// Closes the longest idle connections if fewer than the reserve are `free` of
-    /// `allowed` ones.
+    /// `allowed` ones, or if clients hold almost as much memory as they may.
     pub fn make_room(&self, free: usize, allowed: usize) {
         let reserve = (allowed / RESERVE_DIVISOR).max(1);
-        if free >= reserve {
+        let is_full = self.account.is_crowded();
+        if free >= reserve && !is_full {
             return;
         }
         let connections = self.lock();
@@ -124,10 +138,12 @@
         for (_, state) in &idle[..count] {
             state.close();
         }
-        self.metrics.count_closed("crowded", count as u64);
+        let reason = if is_full { "memory" } else { "crowded" };
+        self.metrics.count_closed(reason, count as u64);
         if self.crowded_lines.take() {
             log::warn!(
-                "listener: {free} of {allowed} connections are free, closing the {count} that are idle for longest."
+                "listener: {free} of {allowed} connections are free, clients hold {} bytes, closing the {count} that are idle for longest.",
+                self.account.used()
             );
         }
     }
--- a/crates/serve/src/caller/runs.rs
+++ b/crates/serve/src/caller/runs.rs
@@ -20,37 +20,45 @@
     body::{Body, Frame, SizeHint},
 };
 
-use crate::body::{BodyError, ProxyBody};
+use crate::{
+    body::{BodyError, ProxyBody},
+    budget::ByteAccount,
+};
 
 /// Bytes of the answers of one connection that are buffered ahead.
 #[derive(Clone, Debug)]
 pub struct AheadBytes {
     used: Arc<AtomicUsize>,
     limit: usize,
+    /// Bytes that all clients hold.
+    account: Arc<ByteAccount>,
 }
 
 impl AheadBytes {
     /// Allows about `limit` bytes: the frame that exceeds them is still buffered.
-    pub fn new(limit: usize) -> Self {
+    pub fn new(limit: usize, account: Arc<ByteAccount>) -> Self {
         Self {
             used: Arc::default(),
             limit,
+            account,
         }
     }
 
     /// Whether no more bytes may be buffered.
     pub fn is_full(&self) -> bool {
-        self.used.load(Ordering::Relaxed) >= self.limit
+        self.used.load(Ordering::Relaxed) >= self.limit || !self.account.has_spare()
     }
 
     /// Counts bytes that were buffered.
     fn add(&self, bytes: usize) {
         self.used.fetch_add(bytes, Ordering::Relaxed);
+        self.account.add(bytes);
     }
 
     /// Counts bytes that are no longer buffered.
     fn remove(&self, bytes: usize) {
         self.used.fetch_sub(bytes, Ordering::Relaxed);
+        self.account.remove(bytes);
     }
 }
 
--- a/crates/serve/src/caller/state.rs
+++ b/crates/serve/src/caller/state.rs
@@ -30,6 +30,8 @@
     /// Whether the connection is to be closed unless a request is in flight.
     closing: AtomicBool,
     waker: AtomicWaker,
+    /// Whether the connection failed since there was no memory for a head.
+    unheld: AtomicBool,
 }
 
 impl CallerState {
@@ -41,6 +43,7 @@
             head_since: AtomicU64::new(NEVER),
             closing: AtomicBool::new(false),
             waker: AtomicWaker::new(),
+            unheld: AtomicBool::new(false),
         };
         state.end_request();
         state
@@ -97,6 +100,16 @@
         time(self.head_since.load(Ordering::Relaxed))
     }
 
+    /// Records that the connection fails since there is no memory for a head.
+    pub fn record_unheld(&self) {
+        self.unheld.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the connection failed since there was no memory for a head.
+    pub fn is_unheld(&self) -> bool {
+        self.unheld.load(Ordering::Relaxed)
+    }
+
     /// Has the connection closed unless a request is in flight.
     pub fn close(&self) {
         self.closing.store(true, Ordering::Release);
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     admin::AdminHandler,
+    budget::{ByteAccount, peer_connections},
     caller::{CallerFront, LimitSource},
     clock::MonoClock,
     control::{
@@ -41,8 +42,6 @@
     wire::HeaderSeal,
 };
 
-/// Maximum number of connections from peers.
-const MAX_PEER_CONNECTIONS: usize = 100_000;
 /// Maximum number of connections from operators.
 const MAX_ADMIN_CONNECTIONS: usize = 64;
 /// Time that a connection from a peer may be idle between requests.
@@ -184,7 +183,7 @@
             adds_date: true,
         };
         let peer_limits = ListenerLimits {
-            connections: MAX_PEER_CONNECTIONS,
+            connections: peer_connections(budgets, MAX_ADMIN_CONNECTIONS),
             head_bytes: budgets.head_bytes,
             head_fields: MAX_HEAD_FIELDS,
             head_timeout: PEER_IDLE_TIMEOUT,
@@ -269,6 +268,7 @@
             transport: Arc::clone(&transport),
             seal: seal.clone(),
             clock,
+            account: ByteAccount::of_machine(settings.budgets.memory_mb),
             settings: Arc::clone(&live_settings),
             metrics: Arc::clone(&metrics),
             limiter: RateLimiter::new(clock, control.clone()),
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -16,8 +16,8 @@
 use hyper::{
     Method, Request, Response, Uri,
     body::Body,
-    header::{CONNECTION, HOST, HeaderValue},
-    http::{request::Parts, uri::Authority},
+    header::{CONNECTION, HeaderValue},
+    http::request::Parts,
 };
 use ids::{Rank, ServiceId, WorkPriority};
 use route::{HomeRegions, RequestScope};
@@ -25,8 +25,10 @@
 use crate::{
     answer::Refusal,
     body::{
-        BufferedBody, DeadlineBody, PrefixedBody, ProxyBody, TimeoutBody, buffer_body, full_body,
+        BufferedBody, ChargedBody, DeadlineBody, PrefixedBody, ProxyBody, TimeoutBody,
+        buffer_body_if, full_body,
     },
+    budget::{BODY_BUFFER_BYTES, ByteAccount, ByteCharge, request_bytes},
     caller::{OverrunFlag, SizedBody},
     clock::MonoClock,
     control::ControlSender,
@@ -34,6 +36,7 @@
     egress::EgressHub,
     gate::{HeldToken, RateLimiter},
     hop::HopTransport,
+    host::{host_of, request_host},
     metrics::MetricSet,
     pool::{HomeShortages, PoolState, PoolTable},
     run::{RequestRun, RunOptions},
@@ -70,6 +73,8 @@
     pub seal: HeaderSeal,
     /// Monotonic clock of the process.
     pub clock: MonoClock,
+    /// Bytes that clients hold.
+    pub account: Arc<ByteAccount>,
     /// Settings in force.
     pub settings: LiveSettings,
     /// Metrics of the daemon.
@@ -137,13 +142,21 @@
         let id = id.and_then(|id| id.to_str().map(str::to_owned).ok());
         let id = id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
         let trace = Arc::new(RequestTrace::new(id));
-        let result = self.try_serve(request, &trace).await;
+        let mut charge = self.account.open();
+        let result = match charge.grow(request_bytes(request.headers())) {
+            true => self.try_serve(request, &trace, &mut charge).await,
+            false => Err(Refusal::NoMemory),
+        };
         self.record_end(&trace, &result);
         if self.may_be_nested_call(&trace) && !is_success(&result) {
             self.egress.record_failed_call();
         }
+        let refused_bytes = matches!(result, Err(Refusal::NoMemory));
         let mut response = result.unwrap_or_else(|refusal| refusal.response(&*self.codec));
-        if self.view.is_leaving() {
+        if self.account.is_bounded() {
+            response = response.map(|body| ChargedBody::new(body, charge).boxed_unsync());
+        }
+        if self.view.is_leaving() || refused_bytes {
             // A caller whose connection is closed sends its next request to
             // another daemon.
             let close = HeaderValue::from_static("close");
@@ -209,6 +222,7 @@
         self: &Arc<Self>,
         request: Request<ProxyBody>,
         trace: &Arc<RequestTrace>,
+        charge: &mut ByteCharge,
     ) -> Result<Response<ProxyBody>, Refusal> {
         let started = self.clock.now();
         let (mut head, body) = request.into_parts();
@@ -223,7 +237,7 @@
         trace.record_admission(&context.pool.service.id, account, access, revision);
         let overrun = OverrunFlag::default();
         let body = self.limit_body(body, &overrun)?;
-        let buffered = self.buffer_small_body(body).await;
+        let buffered = self.buffer_small_body(body, charge).await;
         let (body, replay) = buffered.map_err(|refusal| match overrun.is_set() {
             true => Refusal::BodyTooLarge,
             false => refusal,
@@ -386,13 +400,23 @@
     async fn buffer_small_body(
         &self,
         body: ProxyBody,
+        charge: &mut ByteCharge,
     ) -> Result<(ProxyBody, Option<Bytes>), Refusal> {
         if body.is_end_stream() {
             return Ok((full_body(Bytes::new()), Some(Bytes::new())));
         }
         let budgets = &self.settings.load().budgets;
         let (limit, stall) = (budgets.head_timeout(), budgets.stall_timeout());
-        match tokio::time::timeout(limit, buffer_body(body, MAX_BUFFERED_BODY_BYTES)).await {
+        let mut fits = true;
+        let mut buffer = BODY_BUFFER_BYTES;
+        let may_hold = |bytes| {
+            // The buffer doubles when it grows.
+            fits = charge.grow(2 * bytes + std::mem::take(&mut buffer));
+            fits
+        };
+        let buffered = buffer_body_if(body, MAX_BUFFERED_BODY_BYTES, may_hold);
+        match tokio::time::timeout(limit, buffered).await {
+            Ok(Ok(_)) if !fits => Err(Refusal::NoMemory),
             Ok(Ok(BufferedBody::Complete(bytes))) => Ok((full_body(bytes.clone()), Some(bytes))),
             Ok(Ok(BufferedBody::Partial(first, rest))) => {
                 // A caller that stops sending in the middle of the body must
@@ -420,28 +444,3 @@
         .as_ref()
         .is_ok_and(|response| response.status().is_success())
 }
-
-/// Returns the host of a request in lower case and without a port; `None` if
-/// there is no valid host.
-fn request_host(head: &Parts) -> Option<String> {
-    let authority = match head.uri.authority() {
-        Some(authority) => authority.as_str(),
-        None => {
-            let mut hosts = head.headers.get_all(HOST).iter();
-            let host = hosts.next()?.to_str().ok()?;
-            // With two `Host` headers, a caller could choose which route
-            // applies.
-            match hosts.next() {
-                Some(_) => return None,
-                None => host,
-            }
-        }
-    };
-    host_of(authority)
-}
-
-/// Returns the host of an authority in lower case and without a port.
-fn host_of(authority: &str) -> Option<String> {
-    let authority: Authority = authority.parse().ok()?;
-    Some(authority.host().to_ascii_lowercase())
-}
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -222,6 +222,12 @@
     /// Time without any data after which a body counts as broken, in
     /// milliseconds. The same holds for an answer that its reader does not take.
     pub stall_timeout_ms: u64,
+    /// Memory of the machine in megabytes, half of which clients may take; 0 for no
+    /// bound.
+    pub memory_mb: usize,
+    /// Number of descriptors of the process, which bounds the connections from
+    /// peers; 0 for no bound.
+    pub descriptors: usize,
     /// Maximum time that requests in flight get to finish at shutdown, in
     /// seconds.
     pub grace_s: u64,
@@ -238,6 +244,8 @@
             requests_ahead: 16,
             ahead_bytes: 256 * 1024,
             stall_timeout_ms: 30_000,
+            memory_mb: 0,
+            descriptors: 0,
             grace_s: 600,
         }
     }
@@ -284,6 +292,14 @@
                 self.budgets.threads == newer.budgets.threads,
                 "budgets.threads",
             ),
+            (
+                self.budgets.memory_mb == newer.budgets.memory_mb,
+                "budgets.memory_mb",
+            ),
+            (
+                self.budgets.descriptors == newer.budgets.descriptors,
+                "budgets.descriptors",
+            ),
         ];
         let changed = unchanged.iter().filter(|(same, _)| !same);
         let names = changed.map(|(_, name)| *name).collect();
@@ -394,6 +410,17 @@
                 "budgets.stall_timeout_ms",
                 "must be 100 to 3600000 milliseconds",
             ),
+            (
+                matches!(budgets.memory_mb, 0 | 16..=1_000_000),
+                "budgets.memory_mb",
+                "must be 16 to 1000000 megabytes, or 0 for no bound",
+            ),
+            (
+                matches!(budgets.descriptors, 0 | 256..=10_000_000)
+                    && (budgets.descriptors == 0 || budgets.connections < budgets.descriptors),
+                "budgets.descriptors",
+                "must be 256 to 10000000 and more than `connections`, or 0 for no bound",
+            ),
             (
                 (1..=86_400).contains(&budgets.grace_s),
                 "budgets.grace_s",
--- a/tests/harness/crowd.rs
+++ b/tests/harness/crowd.rs
@@ -151,7 +151,10 @@
     }));
     platform.publish_vms(&deployment.vms);
     platform.publish(&publish_set(None, &deployment.records).unwrap());
-    let budgets = format!(r#", "connections": {CLIENTS}"#);
+    let budgets = format!(
+        r#", "connections": {CLIENTS}, "memory_mb": {}, "descriptors": {DESCRIPTOR_BOUND}"#,
+        160 / SCALE
+    );
     let mut daemon = DaemonProcess::start_limited(
         0,
         1,
