--- a/crates/serve/src/caller/ahead.rs
+++ b/crates/serve/src/caller/ahead.rs
@@ -25,6 +25,7 @@
 };
 use crate::{
     body::{ProxyBody, empty_body},
+    budget::ByteAccount,
     ingress::Ingress,
     settings::Budgets,
 };
@@ -66,7 +67,7 @@
 impl SentAhead {
     /// Creates the state of a connection that has just been accepted. `head_bytes`
     /// is the maximum size of a head.
-    pub fn new(budgets: &Budgets, head_bytes: usize) -> Self {
+    pub fn new(budgets: &Budgets, head_bytes: usize, account: Arc<ByteAccount>) -> Self {
         let mut plan = AheadPlan::new(AheadLimits {
             requests: budgets.requests_ahead,
             held_bytes: head_bytes,
@@ -83,7 +84,7 @@
                 fed: 0,
             }),
             active: AtomicBool::new(false),
-            budget: AheadBytes::new(budgets.ahead_bytes),
+            budget: AheadBytes::new(budgets.ahead_bytes, account),
         }
     }
 
@@ -222,6 +223,7 @@
             ingress.may_run_ahead(&head.method, &head.uri, host.as_ref())
         };
         while !self.budget.is_full()
+            && ingress.account.has_spare()
             && let Some(head) = parts.plan.next_ahead(true, may_run)
         {
             let (method, uri) = (head.method.clone(), head.uri.clone());
--- a/crates/serve/src/caller/connection.rs
+++ b/crates/serve/src/caller/connection.rs
@@ -23,10 +23,15 @@
 use tokio::{net::TcpStream, sync::Notify};
 
 use super::{
-    LimitSource, ahead::SentAhead, crowd::CallerCrowd, state::CallerState, stream::CallerStream,
+    LimitSource,
+    ahead::SentAhead,
+    crowd::CallerCrowd,
+    state::CallerState,
+    stream::{CallerStream, StreamCharges},
 };
 use crate::{
     body::{BodyError, ProxyBody, box_body},
+    budget::CONNECTION_BYTES,
     ingress::Ingress,
     listener::{FIRST_REQUEST_TIME, MAX_HEAD_FIELDS},
     task::StopSignal,
@@ -83,7 +88,12 @@
     /// Creates a front without connections.
     pub fn new(ingress: Arc<Ingress>, limits: LimitSource) -> Self {
         let metrics = Arc::clone(&ingress.metrics);
-        let crowd = CallerCrowd::new(limits.clone(), ingress.clock, metrics);
+        let crowd = CallerCrowd::new(
+            limits.clone(),
+            ingress.clock,
+            metrics,
+            Arc::clone(&ingress.account),
+        );
         Self {
             ingress,
             limits,
@@ -99,18 +109,21 @@
         let state = &member.state;
         let head_bytes = self.limits.get().head_bytes;
         let buffer_bytes = head_bytes.max(MIN_BUFFER_BYTES);
+        let account = &self.ingress.account;
+        let mut connection_charge = account.open();
+        connection_charge.force(CONNECTION_BYTES);
         // A guard of the settings must not be kept for the life of the connection: each
         // thread has only a few, and without one, all further reads are slower.
         let (ahead, stall_timeout) = {
             let budgets = &self.ingress.settings.load().budgets;
             (
-                SentAhead::new(budgets, buffer_bytes),
+                SentAhead::new(budgets, buffer_bytes, Arc::clone(account)),
                 budgets.stall_timeout(),
             )
         };
         let ahead = &ahead;
         let stream = LimitedWriter::new(stream, stall_timeout);
-        let stream = CallerStream::new(stream, state, ahead);
+        let stream = CallerStream::new(stream, state, ahead, StreamCharges::new(account));
         let first_request = Notify::new();
         let requested = AtomicBool::new(false);
         let service = service_fn(|request: Request<Incoming>| {
--- a/crates/serve/src/caller/runs.rs
+++ b/crates/serve/src/caller/runs.rs
@@ -25,6 +25,7 @@
 use crate::{
     answer::Refusal,
     body::{BodyError, DeadlinePassed, ProxyBody},
+    budget::ByteAccount,
     edge::EdgeCodec,
 };
 
@@ -33,30 +34,35 @@
 pub struct AheadBytes {
     used: Arc<AtomicUsize>,
     limit: usize,
+    /// Bytes that all clients hold.
+    account: Arc<ByteAccount>,
 }
 
 impl AheadBytes {
     /// Allows about `limit` bytes: the frame that exceeds them is still buffered.
-    pub fn new(limit: usize) -> Self {
+    pub fn new(limit: usize, account: Arc<ByteAccount>) -> Self {
         Self {
             used: Arc::default(),
             limit,
+            account,
         }
     }
 
     /// Whether no more bytes may be buffered.
     pub fn is_full(&self) -> bool {
-        self.used.load(Ordering::Relaxed) >= self.limit
+        self.used.load(Ordering::Relaxed) >= self.limit || !self.account.has_spare()
     }
 
     /// Counts bytes that were buffered.
     fn add(&self, bytes: usize) {
         self.used.fetch_add(bytes, Ordering::Relaxed);
+        self.account.add(bytes);
     }
 
     /// Counts bytes that are no longer buffered.
     fn remove(&self, bytes: usize) {
         self.used.fetch_sub(bytes, Ordering::Relaxed);
+        self.account.remove(bytes);
     }
 }
 
@@ -305,7 +311,7 @@
     /// answer would follow inside of it.
     #[test]
     fn broken_length() {
-        let mut body = AheadBody::new(broken(2), AheadBytes::new(100));
+        let mut body = AheadBody::new(broken(2), AheadBytes::new(100, Arc::default()));
         assert_eq!(body.size_hint().exact(), Some(10));
         let waker = futures::task::noop_waker();
         body.poll_buffer(&mut Context::from_waker(&waker));
@@ -323,7 +329,7 @@
             let answer = answer.body(broken(3)).unwrap();
             let answer: BoxFuture<'static, _> = Box::pin(async move { answer });
             let (uri, codec) = (Uri::from_static("/"), Arc::new(crate::edge::DefaultCodec));
-            let budget = AheadBytes::new(budget);
+            let budget = AheadBytes::new(budget, Arc::default());
             let mut run = AheadRun::new(Method::GET, uri, answer, budget, codec);
             std::future::poll_fn(|context| {
                 run.poll_ahead(context);
@@ -377,7 +383,7 @@
         let past = tokio::time::Instant::now();
         let inner = crate::body::full_body(Bytes::from_static(b"0123456789"));
         let body = crate::body::DeadlineBody::new(inner, past).boxed_unsync();
-        let budget = AheadBytes::new(100);
+        let budget = AheadBytes::new(100, Arc::default());
         budget.add(100);
         let mut body = AheadBody::new(body, budget.clone());
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
--- a/crates/serve/src/caller/state.rs
+++ b/crates/serve/src/caller/state.rs
@@ -34,6 +34,8 @@
     /// is in flight.
     closing: AtomicBool,
     waker: AtomicWaker,
+    /// Whether the connection failed since there was no memory for a head.
+    unheld: AtomicBool,
 }
 
 impl CallerState {
@@ -46,6 +48,7 @@
             blocked: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             waker: AtomicWaker::new(),
+            unheld: AtomicBool::new(false),
         };
         state.end_request();
         state
@@ -113,6 +116,16 @@
         time(self.head_since.load(Ordering::Relaxed))
     }
 
+    /// Records that the connection fails since there is no memory for a head.
+    pub fn record_unheld(&self) {
+        self.unheld.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the connection failed since there was no memory for a head.
+    pub fn is_unheld(&self) -> bool {
+        self.unheld.load(Ordering::Relaxed)
+    }
+
     /// Has the connection closed unless a request or the end of an answer is in flight.
     pub fn close(&self) {
         self.closing.store(true, Ordering::Release);
