--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -24,5 +24,5 @@
 pub use cold::{ColdDecision, ColdEvent, ColdLimit, ColdRate};
 pub use displacement::{Displacement, JobOutlook, JobTerms, displacement};
 pub use job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal, WorkKind};
-pub use limits::{QueueLimits, QueueReport};
+pub use limits::{QueueLimits, QueueReport, SheddingOrder};
 pub use queue::SlotQueue;
--- a/crates/admit/src/limits.rs
+++ b/crates/admit/src/limits.rs
@@ -4,6 +4,17 @@
 
 use ids::{RequestRate, Slots};
 
+/// What decides between jobs of one rank that compete for slots.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum SheddingOrder {
+    /// The fair share of accounts. All jobs count as equal work.
+    Account,
+    /// The fair share of accounts and the work that each kind of request needs; each
+    /// rank and kind keeps a least share.
+    #[default]
+    Work,
+}
+
 /// Limits of a slot queue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QueueLimits {
@@ -11,6 +22,8 @@
     pub slots: Slots,
     /// Maximum number of jobs that wait at the same time.
     pub waiting: usize,
+    /// What decides between jobs of one rank.
+    pub order: SheddingOrder,
 }
 
 impl QueueLimits {
@@ -22,8 +35,14 @@
         Self {
             slots,
             waiting: slots.get() as usize * Self::WAITING_PER_SLOT,
+            order: SheddingOrder::default(),
         }
     }
+
+    /// Returns the same limits with another order.
+    pub fn with_order(self, order: SheddingOrder) -> Self {
+        Self { order, ..self }
+    }
 }
 
 /// Load of a slot queue, as reported to the ingresses.
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -12,7 +12,7 @@
     displacement::{Displacement, JobOrder, JobOutlook, min_run_time},
     flow::{FlowCharge, FlowTable},
     job::{Job, JobId, QueueAction, QueueEvent, QueueRefusal, WorkKind},
-    limits::{QueueLimits, QueueReport},
+    limits::{QueueLimits, QueueReport, SheddingOrder},
     pace::{DispatchPace, late_jobs},
     waiting::{QueuedJob, WorkAhead, work_up_to},
     work::{ServedShares, WorkEstimates},
@@ -96,7 +96,9 @@
             QueueEvent::Finish(id) => {
                 if let Some(running) = self.finish(now, id) {
                     let used = running.charge.used(now);
-                    self.estimates.record(now, running.kind, used);
+                    if self.limits.order == SheddingOrder::Work {
+                        self.estimates.record(now, running.kind, used);
+                    }
                 }
             }
             QueueEvent::Abort(id) => self.give_back(now, id),
@@ -114,7 +116,9 @@
             QueueEvent::Drain => self.drain(&mut actions),
             QueueEvent::Resume => self.draining = false,
             QueueEvent::Backoff(pause) => self.resume_at = self.resume_at.max(now + pause),
-            QueueEvent::Resize(slots) => self.limits = QueueLimits::for_slots(slots),
+            QueueEvent::Resize(slots) => {
+                self.limits = QueueLimits::for_slots(slots).with_order(self.limits.order);
+            }
             QueueEvent::Limit(rate) => self.set_limit(now, rate),
         }
         // A process that was suspended may hold jobs whose callers gave up long
@@ -265,9 +269,9 @@
     /// Finds the ranks and kinds that have got less than their least share. They matter
     /// only while jobs wait.
     fn find_owed(&mut self) {
-        match self.waiting.is_empty() {
-            true => self.owed.clear(),
-            false => self.owed = self.shares.owed(),
+        match self.limits.order {
+            SheddingOrder::Work if !self.waiting.is_empty() => self.owed = self.shares.owed(),
+            _ => self.owed.clear(),
         }
     }
 
@@ -403,9 +407,10 @@
     /// so together they count as as many accounts.
     fn flow_weight(&self, job: &Job) -> Weight {
         let is_call = |job: &Job| job.account.is_none() && job.work_priority > WorkPriority(0);
-        match is_call(job) {
-            false => job.weight,
-            true => {
+        match self.limits.order {
+            SheddingOrder::Account => job.weight,
+            SheddingOrder::Work if !is_call(job) => job.weight,
+            SheddingOrder::Work => {
                 let others = self.waiting.iter();
                 let others = others.filter(|queued| is_call(&queued.job));
                 Weight(1 + others.count() as u32)
@@ -430,9 +435,13 @@
             let start = self.flows.virtual_start(&job.account, since, &charges, now);
             let place = self.place(now, queued);
             let weight = f64::from(job.weight.get().max(1));
+            let cost = match self.limits.order {
+                SheddingOrder::Account => 0.0,
+                SheddingOrder::Work => place.cost.as_nanos() as f64 / weight,
+            };
             let order = JobOrder {
                 place,
-                virtual_end: start + place.cost.as_nanos() as f64 / weight,
+                virtual_end: start + cost,
                 virtual_start: start,
                 work_priority: job.work_priority,
                 index,
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -440,7 +440,9 @@
     /// Creates the state of a backend server that was not used yet.
     fn make_server(&self, backend: &Backend) -> EgressServer {
         let limit = backend.connections as usize;
-        let mut queue = SlotQueue::new(QueueLimits::for_slots(backend.slots));
+        let order = self.settings.load().policy.shedding_order.into();
+        let limits = QueueLimits::for_slots(backend.slots).with_order(order);
+        let mut queue = SlotQueue::new(limits);
         if self.draining.load(Ordering::Acquire) {
             queue.handle(self.clock.now(), QueueEvent::Drain);
         }
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, fmt, net::SocketAddr, sync::Arc, time::Duration};
 
+use admit::SheddingOrder;
 use arc_swap::ArcSwap;
 use config::DocFault;
 use ids::{Percent, RegionId, ServiceId, VmId, ZoneId};
@@ -83,6 +84,8 @@
     /// Time after SIGTERM for which callers are still served, in milliseconds.
     /// In that time, they have to notice that the daemon is not ready.
     pub linger_ms: u64,
+    /// What decides between requests of one rank that compete for slots.
+    pub shedding_order: OrderKind,
 }
 
 impl Default for Policy {
@@ -96,6 +99,7 @@
             readers_per_zone: 3,
             refuse_isolated: true,
             linger_ms: 0,
+            shedding_order: OrderKind::default(),
         }
     }
 }
@@ -119,6 +123,26 @@
     }
 }
 
+/// What decides between requests of one rank that compete for slots.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum OrderKind {
+    /// The fair share of client accounts.
+    #[default]
+    Account,
+    /// The fair share of client accounts and the work that requests need.
+    Work,
+}
+
+impl From<OrderKind> for SheddingOrder {
+    fn from(kind: OrderKind) -> Self {
+        match kind {
+            OrderKind::Account => Self::Account,
+            OrderKind::Work => Self::Work,
+        }
+    }
+}
+
 /// Form in which the platform publishes the configuration.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "lowercase")]
