A connection whose request is still being sent is closed in time

Callers could get 503 (overloaded) from a server that was free: uploads that it had refused early and that went on slowly used up its connections.

After a complete answer, a connection whose request was still being sent waited without a bound for the end of that, outside the pool but counted in its limit. It is now closed after 4 s, the time that a connection may be idle. Dropping its sender is not enough, because the HTTP library goes on sending the body, so the task of the connection is ended.

early_answer_frees_connection, over loopback, failed before (still open after 7 s), and also with only the wait bounded.

--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -26,6 +26,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
+    sync::oneshot,
     time::{Instant, timeout},
 };
 
@@ -105,6 +106,8 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<ProxyBody>,
+    /// Closes the connection even while a request is being sent on it.
+    close: oneshot::Sender<()>,
     last_used: Instant,
     #[expect(
         dead_code,
@@ -306,11 +309,16 @@
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
             handshake.map_err(|error| SendError::Unsent(error.to_string()))?;
+        let (close, closed) = oneshot::channel();
         self.tasks.spawn(async move {
-            let _ = connection.await;
+            tokio::select! {
+                _ = connection => {}
+                Ok(()) = closed => {}
+            }
         });
         Ok(IdleConnection {
             sender,
+            close,
             last_used: Instant::now(),
             count,
         })
@@ -440,7 +448,8 @@
 
 /// Puts a connection back into the pool after a complete answer, and closes it
 /// otherwise. While the body of the request is still being sent, the connection
-/// stays out of the pool: the next request would wait on it for that.
+/// stays out of the pool: the next request would wait on it for that. It is closed if
+/// that takes longer than a connection may be idle.
 fn return_to_pool(pool: &Weak<ConnectionPool>, mut connection: IdleConnection, end: BodyEnd) {
     let Some(pool) = pool.upgrade() else {
         return;
@@ -450,13 +459,79 @@
         BodyEnd::Complete => {
             let weak_pool = Arc::downgrade(&pool);
             pool.tasks.spawn(async move {
-                if connection.sender.ready().await.is_ok()
-                    && let Some(pool) = weak_pool.upgrade()
-                {
-                    pool.put_idle(connection);
+                let ready = timeout(MAX_IDLE_TIME, connection.sender.ready()).await;
+                match ready {
+                    Ok(Ok(())) => {
+                        if let Some(pool) = weak_pool.upgrade() {
+                            pool.put_idle(connection);
+                        }
+                    }
+                    Ok(Err(_)) => {}
+                    // The body arrives slowly. The library would go on sending it.
+                    Err(_) => {
+                        let _ = connection.close.send(());
+                    }
                 }
             });
         }
         _ => drop(connection),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    };
+
+    use super::*;
+
+    /// Body of one part and a wait without an end.
+    struct StalledBody(bool);
+
+    impl hyper::body::Body for StalledBody {
+        type Data = bytes::Bytes;
+        type Error = crate::body::BodyError;
+
+        fn poll_frame(
+            mut self: std::pin::Pin<&mut Self>,
+            _: &mut std::task::Context<'_>,
+        ) -> std::task::Poll<Option<Result<hyper::body::Frame<bytes::Bytes>, Self::Error>>>
+        {
+            match std::mem::replace(&mut self.0, true) {
+                false => {
+                    let part = bytes::Bytes::from_static(b"part");
+                    std::task::Poll::Ready(Some(Ok(hyper::body::Frame::data(part))))
+                }
+                true => std::task::Poll::Pending,
+            }
+        }
+    }
+
+    // Guards against connections that stay open outside the pool, and count against its
+    // limit, for as long as the body of a request arrives that was answered early.
+    #[tokio::test]
+    async fn early_answer_frees_connection() {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut bytes = [0; 1_024];
+            let _ = stream.read(&mut bytes).await;
+            let answer = b"HTTP/1.1 413 Content Too Large\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(answer).await.unwrap();
+            while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {}
+        });
+        let tasks = Arc::new(TaskGroup::new());
+        let pool = ConnectionPool::new(address, 1, tasks, StreamMeter::default());
+        let mut request = Request::new(StalledBody(false).boxed_unsync());
+        *request.method_mut() = hyper::Method::POST;
+        let answer = pool.send(request).await.unwrap();
+        assert_eq!(answer.status(), 413);
+        drop(answer);
+        let closed = timeout(MAX_IDLE_TIME + Duration::from_secs(3), server).await;
+        assert!(closed.is_ok(), "the connection is still open");
+        assert_eq!(pool.open.load(Ordering::Acquire), 0);
+    }
+}
