The daemon takes the memory of the VM from the system

The system reports the same figure on the users' machines; budgets.detect_memory reads it.

system_memory is a test of the new function.

--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -52,6 +52,41 @@
     used: AtomicUsize,
 }
 
+/// File in which the system reports its memory.
+const MEMORY_FILE: &str = "/proc/meminfo";
+
+/// Returns the memory of the machine in megabytes as the settings have it; 0 if
+/// clients are not to be bounded, or the memory is not known.
+pub fn memory_mb(budgets: &Budgets) -> usize {
+    match budgets.memory_mb {
+        0 if budgets.detect_memory => read_memory_mb(),
+        memory_mb => memory_mb,
+    }
+}
+
+/// Reads the memory of the machine in megabytes; 0 if that fails, so that the daemon
+/// starts without a bound.
+fn read_memory_mb() -> usize {
+    match std::fs::read_to_string(MEMORY_FILE).map(|text| parse_memory_mb(&text)) {
+        Ok(Some(memory_mb)) => memory_mb,
+        Ok(None) => {
+            log::warn!("serve: {MEMORY_FILE} has no total, so clients are not bounded by it.");
+            0
+        }
+        Err(error) => {
+            log::warn!("serve: can't read {MEMORY_FILE}, clients are not bounded by it: {error}.");
+            0
+        }
+    }
+}
+
+/// Returns the total memory in megabytes that `text` reports in kibibytes.
+pub fn parse_memory_mb(text: &str) -> Option<usize> {
+    let line = text.lines().find(|line| line.starts_with("MemTotal:"))?;
+    let kibibytes: usize = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kibibytes.saturating_mul(1_024) / 1_000_000)
+}
+
 impl Default for ByteAccount {
     /// Creates an account without a bound.
     fn default() -> Self {
@@ -238,4 +273,14 @@
         assert_eq!(limit(4_100), 623);
         assert_eq!(limit(3_100), 1);
     }
+
+    // Guards against a machine whose memory is read in the wrong unit, or a report
+    // without a total that ends the daemon.
+    #[test]
+    fn system_memory() {
+        let text = "MemFree:  1 kB\nMemTotal:       163840 kB\n";
+        assert_eq!(parse_memory_mb(text), Some(167));
+        assert_eq!(parse_memory_mb("MemTotal: much"), None);
+        assert_eq!(parse_memory_mb("MemFree: 1 kB"), None);
+    }
 }
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     admin::AdminHandler,
-    budget::{ByteAccount, peer_connections},
+    budget::{ByteAccount, memory_mb, peer_connections},
     caller::{CallerFront, LimitSource},
     clock::MonoClock,
     control::{
@@ -269,7 +269,7 @@
             transport: Arc::clone(&transport),
             seal: seal.clone(),
             clock,
-            account: ByteAccount::of_machine(settings.budgets.memory_mb),
+            account: ByteAccount::of_machine(memory_mb(&settings.budgets)),
             settings: Arc::clone(&live_settings),
             metrics: Arc::clone(&metrics),
             limiter: RateLimiter::new(clock, control.clone()),
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -249,6 +249,8 @@
     /// Memory of the machine in megabytes, half of which clients may take; 0 for no
     /// bound.
     pub memory_mb: usize,
+    /// Whether the memory that the system reports is used where `memory_mb` is 0.
+    pub detect_memory: bool,
     /// Number of descriptors of the process, which bounds the connections from
     /// peers; 0 for no bound.
     pub descriptors: usize,
@@ -269,6 +271,7 @@
             ahead_bytes: 256 * 1024,
             stall_timeout_ms: 30_000,
             memory_mb: 0,
+            detect_memory: false,
             descriptors: 0,
             grace_s: 600,
         }
@@ -320,6 +323,10 @@
                 self.budgets.memory_mb == newer.budgets.memory_mb,
                 "budgets.memory_mb",
             ),
+            (
+                self.budgets.detect_memory == newer.budgets.detect_memory,
+                "budgets.detect_memory",
+            ),
             (
                 self.budgets.descriptors == newer.budgets.descriptors,
                 "budgets.descriptors",
