Review: unfinished bodies take the slots of a whole service

Cause: a body beyond 64 KB is sent on while it arrives, so a client that stops in the middle of one holds a slot of a backend server until the time of the route is over. A hundred such clients of one account, within its allowance, leave hardly a slot to other accounts.

The stand-ins have 3 slots now, as on the smallest site. Nothing is fixed.

--- a/review/rig-2/fleet.rs
+++ b/review/rig-2/fleet.rs
@@ -16,7 +16,7 @@
 };
 
 /// Number of requests that a backend server runs concurrently.
-const SLOTS: u32 = 5;
+const SLOTS: u32 = 3;
 /// Zone of all machines.
 const ZONE: &str = "zone-a";
 
