Review: requests sent ahead and not read take more than the memory of a machine

Cause: what the HTTP library holds of answers that clients do not take is not in the account of what clients hold, and the slots of the backend servers do not bound it.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 runs the case without its disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/rig ] && [ -x target/release/dogwoodshore ] || exit 2
-exec target/review-2/rig ready review/10
+exec target/review-2/rig leaving review/10
--- a/review/rig-2/cases.rs
+++ b/review/rig-2/platform/cases.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod readers;
 mod ready;
+mod unread;
 
 use crate::record::Record;
 
@@ -15,6 +16,7 @@
         "crowd" => crowd::run(record, trouble),
         "leaving" => leaving::run(record, trouble),
         "readers" => readers::run(record, trouble),
+        "unread" => unread::run(record, trouble),
         "ready" => ready::run(record, trouble),
         _ => Err(format!("no case {case}")),
     }
--- a/review/rig-2/daemon.rs
+++ b/review/rig-2/platform/daemon.rs
@@ -1,6 +1,7 @@
 //! A daemon as a separate process, with the settings template of the deploy file.
 
 use std::{
+    collections::HashSet,
     fs::File,
     io,
     net::{SocketAddr, TcpStream},
@@ -30,6 +31,9 @@
     /// Stands for the address of the store in the secret, which all daemons share.
     pub fleet: &'a str,
     pub peer_port: u16,
+    /// Memory of the machine in megabytes. The daemon reads it from the system, which
+    /// can't be told another one here, so it becomes a setting.
+    pub memory_mb: Option<u32>,
 }
 
 impl Daemon {
@@ -62,6 +66,13 @@
             .replace("{{bounds.floorShare}}", "0.7")
             .replace("{{bounds.retryBudgetRatio}}", "0.2")
             .replace("{{bounds.budgetSlack}}", "60");
+        let text = match fields.memory_mb {
+            Some(memory) => text.replace(
+                r#""detect_memory": true"#,
+                &format!(r#""memory_mb": {memory}"#),
+            ),
+            None => text,
+        };
         if text.contains("{{") {
             return Err(io::Error::other("the template has unknown placeholders"));
         }
@@ -117,6 +128,45 @@
         lines.map(str::to_owned).collect()
     }
 
+    /// Returns the resident memory of the process in bytes.
+    pub fn memory(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, |child| child.id());
+        let text = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1_024
+    }
+
+    /// Returns the bytes that have been received on the process's connections and that
+    /// it has not read.
+    pub fn unread_bytes(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, |child| child.id());
+        let Ok(descriptors) = std::fs::read_dir(format!("/proc/{id}/fd")) else {
+            return 0;
+        };
+        let links = descriptors.flatten();
+        let links = links.filter_map(|entry| std::fs::read_link(entry.path()).ok());
+        let sockets: HashSet<String> = links
+            .filter_map(|link| {
+                let name = link.to_string_lossy().into_owned();
+                let inode = name.strip_prefix("socket:[")?.strip_suffix(']')?;
+                Some(inode.to_owned())
+            })
+            .collect();
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let lines = table.lines().skip(1);
+        lines
+            .filter_map(|line| {
+                let fields: Vec<&str> = line.split_whitespace().collect();
+                let (state, queues, inode) = (fields.get(3)?, fields.get(4)?, fields.get(9)?);
+                // The queue of a listener counts connections.
+                let open = *state != "0A" && sockets.contains(*inode);
+                let (_, received) = queues.split_once(':')?;
+                open.then(|| u64::from_str_radix(received, 16).unwrap_or(0))
+            })
+            .sum()
+    }
+
     /// Asks whether the daemon is ready, as the platform does with the mapping of
     /// `deploy/wire.toml`. Returns the status, or `None` without an answer in time.
     pub fn ask_ready(&self, limit: Duration) -> Option<u16> {
--- a/review/rig-2/fleet.rs
+++ b/review/rig-2/platform/fleet.rs
@@ -15,7 +15,7 @@
     store::Store,
 };
 
-/// Number of requests that a backend server runs concurrently.
+/// Number of requests that a backend server runs concurrently, if a case needs no other.
 const SLOTS: u32 = 3;
 /// Zone of all machines.
 const ZONE: &str = "zone-a";
@@ -28,16 +28,35 @@
     /// The backend server beside each daemon.
     pub servers: Vec<Server>,
     folder: PathBuf,
+    slots: u32,
 }
 
 impl Fleet {
     /// Starts a store, and a machine for each service named, and waits until all are
     /// ready. Each backend server works for `work` on a request.
     pub fn start(record: &Record, services: &[&str], work: Duration) -> Result<Self, String> {
-        Self::try_start(record, services, work).map_err(|error| error.to_string())
+        Self::try_start(record, services, work, (None, SLOTS)).map_err(|error| error.to_string())
     }
 
-    fn try_start(record: &Record, services: &[&str], work: Duration) -> io::Result<Self> {
+    /// Starts a deployment like [`Self::start`], on machines with so much memory and
+    /// with so many slots of each backend server.
+    pub fn start_with_memory(
+        record: &Record,
+        services: &[&str],
+        work: Duration,
+        memory_mb: u32,
+        slots: u32,
+    ) -> Result<Self, String> {
+        let shape = (Some(memory_mb), slots);
+        Self::try_start(record, services, work, shape).map_err(|error| error.to_string())
+    }
+
+    fn try_start(
+        record: &Record,
+        services: &[&str],
+        work: Duration,
+        (memory_mb, slots): (Option<u32>, u32),
+    ) -> io::Result<Self> {
         let process = std::process::id();
         let folder = std::env::temp_dir().join(format!("review-2-{process}"));
         std::fs::create_dir_all(&folder)?;
@@ -53,6 +72,7 @@
             daemons: Vec::new(),
             servers: Vec::new(),
             folder,
+            slots,
         };
         let fleet_name = format!("{network}.0");
         for (index, (service, ip)) in services.iter().zip(&ips).enumerate() {
@@ -67,6 +87,7 @@
                 store: fleet.store.serve(number)?,
                 fleet: &fleet_name,
                 peer_port: ports[0],
+                memory_mb,
             };
             let doors = (ports[1], ports[2]);
             let daemon = Daemon::new(record, &fleet.folder, number, ip, doors, &fields)?;
@@ -92,8 +113,8 @@
     pub fn put_entry(&self, index: usize, state: &str) {
         let server = &self.servers[index];
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{ZONE}","configVersion":"v1","concurrencyLimit":{SLOTS},"state":"{state}","coldRemainingMs":0,"sequence":4,"born":1790000000000}}"#,
-            server.service, server.address
+            r#"{{"service":"{}","address":"{}","zone":"{ZONE}","configVersion":"v1","concurrencyLimit":{},"state":"{state}","coldRemainingMs":0,"sequence":4,"born":1790000000000}}"#,
+            server.service, server.address, self.slots
         );
         self.store.put(&self.entry_key(index), &entry);
     }
--- a/review/rig-2/server.rs
+++ b/review/rig-2/platform/server.rs
@@ -30,6 +30,8 @@
     pub work_ms: Arc<AtomicU64>,
     /// Requests a second that it names as `Server-Limit` in its answers.
     pub limit: Arc<Mutex<Option<String>>>,
+    /// Number of bytes of its answers beyond a line of text.
+    pub answer_bytes: Arc<AtomicU64>,
     /// Whether its answers say that it leaves.
     pub leaving: Arc<AtomicBool>,
     pub runs: Arc<Mutex<Vec<Run>>>,
@@ -54,6 +56,7 @@
             address,
             work_ms: Arc::new(AtomicU64::new(work.as_millis() as u64)),
             limit: Arc::default(),
+            answer_bytes: Arc::default(),
             leaving: Arc::default(),
             runs: Arc::default(),
             ended: Arc::default(),
@@ -122,7 +125,10 @@
             std::thread::sleep(Duration::from_millis(work_ms));
             fields.push_str(&format!("X-Dogwoodshore-Response-Seal: {}\r\n", self.id));
             let text = format!("{} ran {request}, {} bytes", self.id, body.len());
-            wire.answer("200 OK", &fields, text.as_bytes())?;
+            let mut text = text.into_bytes();
+            let filling = self.answer_bytes.load(Ordering::SeqCst) as usize;
+            text.resize(text.len() + filling, b'.');
+            wire.answer("200 OK", &fields, &text)?;
         }
         Ok(())
     }
