Entries are retained only after an outage in which they can expire

Cause: the adapter took each failed call for an outage of the store, in which entries of live servers expire. A removal that the next successful watch reported was retained for the grace period of 2 s, each later failed call began a new one, and the first watch after a failure waited, so that removals while it waited counted as earlier ones. An entry expires after three heartbeats of 1.5 s, so an outage of less than about 3 s expires none. Ruled out: a lost message between daemons; the test has none.

Change: entries are retained after an outage of 3 s or more, measured from the last success, or a second before the first failed call of a daemon that reads only now and then.

--- a/src/run.rs
+++ b/src/run.rs
@@ -154,6 +154,7 @@
             retry_budget: settings.policy.retry_budget(),
         },
         grace_period: StoreFeedOptions::GRACE_PERIOD,
+        min_outage: StoreFeedOptions::MIN_OUTAGE,
     }
 }
 
