Notices of backend servers travel with their answers

Cause: the egress told an ingress what a server says only in reply to its next offer, and forgot it when it restarted. An ingress that made no offer in between had nothing to tell the new egress, although it had passed on the answer itself. Ruled out: a lost datagram; the case has none.

Change: the report of an egress about an attempt has the server's notice, as its last field, which daemons of an earlier version neither send nor miss.

--- a/crates/serve/src/attempt/mod.rs
+++ b/crates/serve/src/attempt/mod.rs
@@ -392,6 +392,10 @@
     async fn read_answer(&self, server: &Arc<ServerState>, answer: EgressAnswer) -> AttemptResult {
         let report = answer.report;
         server.record_load(&report.load, report.service_us);
+        // The egress may restart before this ingress makes its next offer.
+        if let Some(notice) = report.notice {
+            server.record_notice(notice);
+        }
         let status = answer
             .response
             .as_ref()
--- a/crates/serve/src/attempt/search.rs
+++ b/crates/serve/src/attempt/search.rs
@@ -238,7 +238,7 @@
         choice.server.record_offer();
         self.asked.push(choice.server.backend.id.clone());
         let vm = choice.server.backend.vm.clone();
-        let notice = choice.server.notice();
+        let notice = choice.server.repeated_notice();
         if notice != ServerNotice::default() {
             // The daemon there may have restarted since the server said so.
             let server = &choice.server.backend.id;
--- a/crates/serve/src/egress/mod.rs
+++ b/crates/serve/src/egress/mod.rs
@@ -494,6 +494,7 @@
             outcome: EgressOutcome::NotRun(NotRun::Misdirected),
             service_us: 0,
             load: ServerLoad::default(),
+            notice: None,
         },
         response: None,
     }
--- a/crates/serve/src/egress/notice.rs
+++ b/crates/serve/src/egress/notice.rs
@@ -100,6 +100,13 @@
         telling.then_some(notice)
     }
 
+    /// Returns what the server itself has said since this daemon started.
+    pub(super) fn first_hand_notice(&self) -> Option<ServerNotice> {
+        let now = self.clock.now();
+        let known = self.known_notice();
+        known.first_hand.then(|| known.at(now))
+    }
+
     /// Whether the server has said that it is leaving.
     pub(super) fn is_leaving(&self) -> bool {
         self.known_notice().at(self.clock.now()).leaving
--- a/crates/serve/src/egress/server.rs
+++ b/crates/serve/src/egress/server.rs
@@ -360,6 +360,7 @@
             outcome,
             service_us: 0,
             load: self.load(),
+            notice: self.first_hand_notice(),
         }
     }
 
--- a/crates/serve/src/pool/mod.rs
+++ b/crates/serve/src/pool/mod.rs
@@ -1,5 +1,8 @@
 //! Pool of the backend servers of one service, and the choice among them.
 
+mod notice;
+#[cfg(test)]
+mod notice_tests;
 mod scope;
 #[cfg(test)]
 mod scope_tests;
@@ -63,7 +66,10 @@
         let mut states = self.servers_in(view, scope).into_iter();
         states
             // The refusal of a canary for a cold server would count as a failed canary.
-            .find(|state| !state.is_leaving() && !state.is_cold() && state.take_canary())
+            .find(|state| {
+                let is_excluded = state.is_leaving() || state.notice().leaving || state.is_cold();
+                !is_excluded && state.take_canary()
+            })
             .cloned()
     }
 
--- a/crates/serve/src/pool/server.rs
+++ b/crates/serve/src/pool/server.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -13,6 +13,7 @@
 use ids::{Percent, RequestRate};
 use route::{Candidate, Distance, aged_rejections};
 
+use super::notice::HeardNotice;
 use crate::link::ConnectionPool;
 
 /// Weight of a backend server in full rotation, in thousandths.
@@ -44,9 +45,6 @@
 /// Time for which other requests avoid a server whose daemon did not reply, while one
 /// request finds out whether it replies again. A search takes 40 ms to notice.
 const PROBE_MS: u64 = 80;
-/// Time for which a notice of a server is used after it was last passed on, in
-/// milliseconds.
-const NOTICE_MS: u64 = 10_000;
 /// Least share of its usual traffic that a server with a limit is offered, so that
 /// the end of the limit is noticed.
 const MIN_LIMITED_SHARE: f64 = 0.02;
@@ -96,9 +94,8 @@
     /// End of the time for which other requests wait for the result of a probe, in
     /// milliseconds from `start`.
     probe_until_ms: AtomicU64,
-    /// What the server says about itself, and when that was last passed on, in
-    /// milliseconds from `start`.
-    notice: Mutex<(ServerNotice, u64)>,
+    /// What the server says about itself. States of the same server share it.
+    notice: Arc<Mutex<HeardNotice>>,
     /// Rate that the server takes while it is cold, as the bits of a number; zero if it
     /// is warm.
     cold_rate: AtomicU64,
@@ -133,7 +130,7 @@
             silent_until_ms: AtomicU64::new(0),
             silent_since_ms: AtomicU64::new(0),
             probe_until_ms: AtomicU64::new(0),
-            notice: Mutex::default(),
+            notice: Arc::default(),
             cold_rate: AtomicU64::new(0),
             refused_cold_until_ms: AtomicU64::new(0),
         }
@@ -150,6 +147,13 @@
                 }
     }
 
+    /// Takes over what the server has said about itself from an earlier state of it,
+    /// whose record has changed since.
+    pub(super) fn with_notice_of(mut self, earlier: &Self) -> Self {
+        self.notice = Arc::clone(&earlier.notice);
+        self
+    }
+
     /// Sets the rate that the server takes while it is cold; `None` if it is warm.
     pub(super) fn set_cold(&self, rate: Option<RequestRate>) {
         let rate = rate.map_or(0.0, RequestRate::as_f64);
@@ -233,25 +237,26 @@
 
     /// Records what the server says about itself.
     pub fn record_notice(&self, notice: ServerNotice) {
-        let mut known = self
-            .notice
-            .lock()
-            .unwrap_or_else(|poison| poison.into_inner());
-        *known = (notice, self.age_ms());
+        self.heard_notice().record(Instant::now(), notice);
     }
 
     /// Returns what the server says about itself; the default if that is nothing or
     /// not known.
     pub(crate) fn notice(&self) -> ServerNotice {
-        let known = self
-            .notice
+        self.heard_notice().current(Instant::now())
+    }
+
+    /// Returns what the egress of the server is told with each offer, since it may have
+    /// restarted.
+    pub(crate) fn repeated_notice(&self) -> ServerNotice {
+        self.heard_notice().repeated(Instant::now())
+    }
+
+    /// Locks the notice, whose holders never panic.
+    fn heard_notice(&self) -> MutexGuard<'_, HeardNotice> {
+        self.notice
             .lock()
-            .unwrap_or_else(|poison| poison.into_inner());
-        let (notice, told_ms) = *known;
-        match self.age_ms() < told_ms + NOTICE_MS {
-            true => notice,
-            false => ServerNotice::default(),
-        }
+            .unwrap_or_else(|poison| poison.into_inner())
     }
 
     /// Share of its slots that the server can use at the rate that it has named.
--- a/crates/serve/src/pool/table.rs
+++ b/crates/serve/src/pool/table.rs
@@ -145,7 +145,7 @@
         };
         let state = |backend: Backend| {
             let rate = service.cold.filter(|_| backend.cold).map(|cold| cold.rate);
-            let state = keep(&backend).or_else(|| self.make_server(backend))?;
+            let state = keep(&backend).or_else(|| self.make_server(backend, before))?;
             state.set_cold(rate);
             Some(state)
         };
@@ -166,14 +166,29 @@
         }
     }
 
-    /// Creates the state of a backend server that is new in its pool.
-    fn make_server(&self, backend: Backend) -> Option<Arc<ServerState>> {
+    /// Creates the state of a backend server that is new in its pool, or whose record
+    /// in the pool `before` was another.
+    fn make_server(
+        &self,
+        backend: Backend,
+        before: Option<&PoolState>,
+    ) -> Option<Arc<ServerState>> {
+        let earlier = before.and_then(|pool| {
+            let mut states = pool.servers.iter().map(|state| state.as_ref());
+            states.find(|state| {
+                state.backend.id == backend.id && state.backend.address == backend.address
+            })
+        });
         let distance = self.view.distance(&backend.vm);
         let connections = match distance {
             Distance::Local => None,
             _ => Some(self.peer_connections(&backend.vm)?),
         };
-        Some(Arc::new(ServerState::new(backend, distance, connections)))
+        let state = ServerState::new(backend, distance, connections);
+        Some(Arc::new(match earlier {
+            Some(earlier) => state.with_notice_of(earlier),
+            None => state,
+        }))
     }
 
     /// Returns the connections to the daemon on a VM, or `None` if the VM is
--- a/crates/serve/src/wire.rs
+++ b/crates/serve/src/wire.rs
@@ -9,7 +9,7 @@
 pub use hop::NotRun;
 
 use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD as BASE64};
-use hop::{OfferId, ServerLoad};
+use hop::{OfferId, ServerLoad, ServerNotice};
 use hyper::{HeaderMap, header::HeaderName, header::HeaderValue};
 use ids::{AccountId, ServerId, ServiceId, VmId};
 use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
@@ -75,7 +75,7 @@
 }
 
 /// Decodes a field that daemons of an earlier version do not send; it is `None`
-/// in their attempts. Only the last field of a value can be decoded like this.
+/// in what they send. Only the last field of a value can be decoded like this.
 fn decode_last<'de, D, T>(decoder: D) -> Result<Option<T>, D::Error>
 where
     D: Deserializer<'de>,
@@ -119,6 +119,10 @@
     pub service_us: u64,
     /// Load and health of the backend server.
     pub load: ServerLoad,
+    /// What the backend server says about itself; `None` if the egress has not heard it
+    /// from the server.
+    #[serde(deserialize_with = "decode_last")]
+    pub notice: Option<ServerNotice>,
 }
 
 /// Encodes header values with a hash keyed by the fleet secret, and decodes
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -271,6 +271,15 @@
         }
     }
 
+    /// Starts a daemon anew that has been killed, with its configuration from `platform`.
+    pub fn restart(&self, index: usize, shape: &FleetShape, platform: &PlatformStub) -> Daemon {
+        let mut settings = test_settings(index, shape, platform.address());
+        settings.peer = self.peers[index];
+        let feed = Arc::new(HttpPlatformBuilder::new(platform.address()).feed());
+        let builder = DaemonBuilder::bind(settings).unwrap();
+        builder.start_with(feed, Arc::clone(&shape.codec))
+    }
+
     /// Returns a running daemon.
     pub fn daemon(&self, index: usize) -> &Daemon {
         self.daemons[index]
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -3,15 +3,13 @@
 
 mod harness;
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use config::{Record, publish_set};
 use fakes::{Behaviour, PlatformStub, SetPublisher};
-use harness::{Fleet, FleetShape, any_port, test_settings};
+use harness::{Fleet, FleetShape, any_port};
 use hyper::{Method, StatusCode};
 use ids::Revision;
-use reader::HttpPlatformBuilder;
-use serve::{Daemon, DaemonBuilder};
 use test_case::test_case;
 use tokio::time::{Instant, sleep};
 
@@ -20,14 +18,6 @@
 /// Time limit for the start of a daemon.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
-/// Starts a daemon anew that has been killed, with its configuration from `platform`.
-fn restart(fleet: &Fleet, index: usize, shape: &FleetShape, platform: &PlatformStub) -> Daemon {
-    let mut settings = test_settings(index, shape, platform.address());
-    settings.peer = fleet.peers[index];
-    let feed = HttpPlatformBuilder::new(platform.address()).feed();
-    DaemonBuilder::bind(settings).unwrap().start(Arc::new(feed))
-}
-
 // Guards against a withdrawn key, or a server that has left, that is in use again after
 // a restart: the store that the daemon reaches lags behind what its peers know.
 #[tokio::test(flavor = "multi_thread")]
@@ -64,7 +54,7 @@
         .await;
     let runs_before = fleet.backends[0].count();
     fleet.daemons[2].take().unwrap().kill().await;
-    let restarted = restart(&fleet, 2, &shape, &stale);
+    let restarted = fleet.restart(2, &shape, &stale);
     let started = Instant::now();
     while restarted.view().table().revision() < newest {
         assert!(started.elapsed() < CHANGE_BOUND, "the peers do not tell it");
@@ -132,7 +122,7 @@
         KilledSide::Ingress => 1,
     };
     fleet.daemons[index].take().unwrap().kill().await;
-    let restarted = restart(&fleet, index, &shape, &fleet.platform);
+    let restarted = fleet.restart(index, &shape, &fleet.platform);
     let end = Instant::now() + START_LIMIT;
     while !restarted.view().is_ready() {
         assert!(Instant::now() < end, "no configuration");
