Answers with an invalid status are discarded

The same class on a related path: statuses 101 and 600 to 999 of a backend server reached the caller as they were. 101 is a switch of protocols, which no forwarded request asks for; 600 and more are invalid (RFC 9110, 15).

The egress takes an answer whose status is not from 200 to 599 for none to the request: it is discarded, its connection is closed, and the caller gets 502 with the outcome unknown. The log line names the status.

--- a/crates/serve/src/egress/dispatch.rs
+++ b/crates/serve/src/egress/dispatch.rs
@@ -6,7 +6,7 @@
 use admit::{ColdEvent, QueueEvent};
 use health::{Outcome, STUCK_FACTOR};
 use http_body_util::BodyExt;
-use hyper::{Request, Response, body::Body, header::HeaderValue};
+use hyper::{Request, Response, StatusCode, body::Body, header::HeaderValue};
 use ids::MonoTime;
 
 use super::{
@@ -24,6 +24,12 @@
 /// Maximum backoff that a backend server can request by `Retry-After`.
 const MAX_BACKOFF: Duration = Duration::from_secs(30);
 
+/// Whether an answer may have a status. No request that is forwarded asks for a switch of
+/// protocols, and statuses from 600 on are invalid (RFC 9110, 15).
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 impl EgressServer {
     /// Sends a request that holds a slot, and waits for the head of the answer.
     pub(super) async fn dispatch(
@@ -47,7 +53,10 @@
         match result {
             Some(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                let kind = self.codec.read_answer(request_id.as_ref(), &head);
+                let kind = match is_final(head.status) {
+                    true => self.codec.read_answer(request_id.as_ref(), &head),
+                    false => AnswerKind::Foreign,
+                };
                 if kind != AnswerKind::Foreign && kind != AnswerKind::NotRun(NotRun::Misdirected) {
                     self.record_notice(NoticeSource::Server, self.codec.read_notice(&head));
                 }
@@ -69,8 +78,9 @@
                     AnswerKind::NotRun(reason) => self.handle_rejection(reason, held),
                     AnswerKind::Foreign => {
                         log::warn!(
-                            "egress: {} sent an answer to another request; it is discarded.",
-                            self.id
+                            server = self.id.as_str(),
+                            status = head.status.as_u16();
+                            "egress: the backend server sent what is no answer to the request; it is discarded."
                         );
                         held.ticket.aborted = true;
                         self.record_outcome(Outcome::Broken);
