Interim answers to one request are bounded

But with interim answers without end an ordinary request to another server got no answer within 2 s.

Cause: the HTTP library skips interim answers within one turn of the connection's task for as long as there are bytes to read, which takes seconds where a server sends faster than they are parsed. Ruled out: memory (13.6 and 27.3 MB in that form).

A stream can't be read any more once the request on it has got 64 interim answers. The count is taken by the library's callback for interim answers; the callback can't end the connection, and a signal to its task comes only at the end of its turn.

--- a/crates/serve/src/ledger.rs
+++ b/crates/serve/src/ledger.rs
@@ -20,6 +20,8 @@
 use route::Distance;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::interim::InterimCount;
+
 /// Kind of bytes that are sent to another daemon.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SentKind {
@@ -233,17 +235,29 @@
     }
 }
 
-/// A stream whose written bytes are counted.
+/// A stream whose written bytes are counted, and which can't be read after too many
+/// interim answers.
 #[derive(Debug)]
 pub struct MeteredStream<S> {
     stream: S,
     meter: Arc<StreamMeter>,
+    interim: InterimCount,
 }
 
 impl<S> MeteredStream<S> {
     /// Counts the bytes written to `stream` with `meter`.
     pub fn new(stream: S, meter: Arc<StreamMeter>) -> Self {
-        Self { stream, meter }
+        Self {
+            stream,
+            meter,
+            interim: InterimCount::default(),
+        }
+    }
+
+    /// Bounds the interim answers that are read by those that `interim` counts.
+    pub fn with_interim(mut self, interim: InterimCount) -> Self {
+        self.interim = interim;
+        self
     }
 }
 
@@ -253,6 +267,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.interim.check()?;
         Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -25,6 +25,7 @@
 mod hop;
 mod host;
 mod ingress;
+mod interim;
 mod keepalive;
 mod ledger;
 mod link;
--- a/crates/serve/src/link.rs
+++ b/crates/serve/src/link.rs
@@ -31,6 +31,7 @@
 
 use crate::{
     body::{BodyEnd, ObservedBody, ProxyBody, box_body},
+    interim::InterimCount,
     keepalive::detect_dead_peer,
     ledger::{MeteredStream, StreamMeter},
     task::TaskGroup,
@@ -101,6 +102,7 @@
     sender: SendRequest<ProxyBody>,
     /// Closes the connection even while a request is being sent on it.
     close: oneshot::Sender<()>,
+    interim: InterimCount,
     last_used: Instant,
     #[expect(
         dead_code,
@@ -298,7 +300,9 @@
             );
         }
         self.meter.count_opened();
+        let interim = InterimCount::default();
         let stream = MeteredStream::new(stream, Arc::clone(&self.meter));
+        let stream = stream.with_interim(interim.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
             handshake.map_err(|error| SendError::Unsent(error.to_string()))?;
@@ -312,6 +316,7 @@
         Ok(IdleConnection {
             sender,
             close,
+            interim,
             last_used: Instant::now(),
             count,
         })
@@ -321,7 +326,7 @@
     async fn send_on(
         self: &Arc<Self>,
         mut connection: IdleConnection,
-        request: Request<ProxyBody>,
+        mut request: Request<ProxyBody>,
         may_send: impl FnOnce() -> bool,
     ) -> Result<Response<ProxyBody>, SendFailure> {
         match timeout(READY_TIMEOUT, connection.sender.ready()).await {
@@ -333,6 +338,7 @@
             self.put_idle(connection);
             return Err(SendFailure::Final(SendError::Withheld));
         }
+        connection.interim.count_for(&mut request);
         match connection.sender.try_send_request(request).await {
             Ok(response) if is_close_delimited(&response) => {
                 self.warn_no_length();
