--- a/crates/reader/src/feed.rs
+++ b/crates/reader/src/feed.rs
@@ -23,6 +23,15 @@
 /// Name of the value that contains the VM list.
 const VMS: &str = "vms";
 
+/// What a feed has noticed of its source since it was created.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FeedCounts {
+    /// Number of times that the source has come back from an older copy.
+    pub eras_begun: u64,
+    /// Number of answers whose era was invalid or had ended.
+    pub odd_eras: u64,
+}
+
 /// A source of configurations and VM lists.
 ///
 /// All calls may be repeated after an error, and may be cancelled at any time.
@@ -52,6 +61,12 @@
         &self,
         wait: Duration,
     ) -> BoxFuture<'_, Result<Option<VmList>, Report<PlatformError>>>;
+
+    /// Returns what was noticed of the source. A source that never comes back from an
+    /// older copy has nothing to count.
+    fn counts(&self) -> FeedCounts {
+        FeedCounts::default()
+    }
 }
 
 /// Feed of the values that `dogwoodshore pack` writes and operators publish.
--- a/crates/reader/src/lib.rs
+++ b/crates/reader/src/lib.rs
@@ -12,7 +12,7 @@
 mod source;
 
 pub use error::PlatformError;
-pub use feed::{ConfigFeed, PublishedFeed};
+pub use feed::{ConfigFeed, FeedCounts, PublishedFeed};
 pub use http::{HttpPlatform, HttpPlatformBuilder};
 pub use reader::{ConfigReader, ReadOutcome};
 pub use source::{PlatformSource, PlatformValue};
--- a/crates/serve/src/control/follow.rs
+++ b/crates/serve/src/control/follow.rs
@@ -10,6 +10,7 @@
 
 use config::{ConfigTable, VmList};
 use error_stack::Report;
+use prometheus_client::metrics::counter::Counter;
 use reader::{ConfigFeed, PlatformError, ReadOutcome};
 
 use super::event::{ControlEvent, ControlSender};
@@ -78,7 +79,9 @@
     /// Reads the configuration and the VM list once.
     pub async fn read_once(&self) {
         self.metrics.platform_calls.inc_by(2);
-        match self.platform.read_config(self.view.table()).await {
+        let read = self.platform.read_config(self.view.table()).await;
+        self.record_counts();
+        match read {
             Ok(outcome) => self.send_config(outcome).await,
             Err(report) => self.log_failure(&report),
         }
@@ -104,7 +107,9 @@
             self.wait_until_reader().await;
             self.metrics.platform_calls.inc();
             let table = self.newest(last_read.as_ref());
-            match self.platform.watch_config(table, MAX_WATCH_WAIT).await {
+            let watched = self.platform.watch_config(table, MAX_WATCH_WAIT).await;
+            self.record_counts();
+            match watched {
                 Ok(outcome) => {
                     if let ReadOutcome::Newer { table, .. } = &outcome {
                         last_read = Some(Arc::clone(table));
@@ -172,6 +177,16 @@
             .await;
     }
 
+    /// Updates the metrics of what the feed has noticed of the platform.
+    fn record_counts(&self) {
+        let counts = self.platform.counts();
+        let update = |counter: &Counter, count: u64| {
+            counter.inc_by(count.saturating_sub(counter.get()));
+        };
+        update(&self.metrics.eras_begun, counts.eras_begun);
+        update(&self.metrics.odd_eras, counts.odd_eras);
+    }
+
     /// Logs a failed read, and counts it if the configuration was refused.
     fn log_failure(&self, report: &Report<PlatformError>) {
         match report.current_context() {
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -72,6 +72,10 @@
     /// Number of reads of the platform that were made because no peer had
     /// confirmed the revisions in force in time.
     pub fallback_reads: Counter,
+    /// Number of times that the platform has come back from an older copy.
+    pub eras_begun: Counter,
+    /// Number of answers of the platform whose era was invalid or had ended.
+    pub odd_eras: Counter,
     /// Number of refused configurations.
     pub config_refused: Counter,
     /// Number of inputs of the control loop whose handling panicked.
@@ -131,6 +135,8 @@
             platform_age_ms: Gauge::default(),
             platform_calls: Counter::default(),
             fallback_reads: Counter::default(),
+            eras_begun: Counter::default(),
+            odd_eras: Counter::default(),
             config_refused: Counter::default(),
             contained_panics: Counter::default(),
             peer_messages: Family::default(),
@@ -218,6 +224,16 @@
             "Reads of the platform because no peer had confirmed the revisions",
             self.fallback_reads.clone(),
         );
+        registry.register(
+            "eras_begun",
+            "Times that the platform has come back from an older copy",
+            self.eras_begun.clone(),
+        );
+        registry.register(
+            "odd_eras",
+            "Answers of the platform whose era was invalid or had ended",
+            self.odd_eras.clone(),
+        );
         registry.register(
             "config_refused",
             "Configurations refused",
