Each daemon of a test fleet has a feed of its own

`dogwoodshore try` shared a feed as well.

Each daemon has its own feed now, as in the product. No check and no bound is changed.

--- a/src/trial.rs
+++ b/src/trial.rs
@@ -108,8 +108,11 @@
     let values = publish_set(None, &deployment.records).map_err(CommandError::other)?;
     platform.publish_vms(&deployment.vms);
     platform.publish(&values);
-    let source = Arc::new(HttpPlatformBuilder::new(platform.address()).feed());
-    let start = |builder: DaemonBuilder| builder.start(source.clone());
+    // A feed remembers which changes it has read, so daemons can't share one.
+    let start = |builder: DaemonBuilder| {
+        let feed = HttpPlatformBuilder::new(platform.address()).feed();
+        builder.start(Arc::new(feed))
+    };
     let daemons: Vec<Daemon> = builders.into_iter().map(start).collect();
     wait_ready(&daemons).await?;
     println!(
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -213,9 +213,11 @@
         change(&mut deployment);
         platform.publish_vms(&deployment.vms);
         platform.publish(&publish_set(None, &deployment.records).unwrap());
-        let source = Arc::new(HttpPlatformBuilder::new(platform.address()).feed());
-        let start =
-            |builder: DaemonBuilder| builder.start_with(source.clone(), Arc::clone(&shape.codec));
+        // A feed remembers which changes it has read, so daemons can't share one.
+        let start = |builder: DaemonBuilder| {
+            let feed = HttpPlatformBuilder::new(platform.address()).feed();
+            builder.start_with(Arc::new(feed), Arc::clone(&shape.codec))
+        };
         let peers = builders
             .iter()
             .map(|builder| builder.addresses().peer)
